Take signals before the libraries are imported

Cause: SIGHUP ends a process by default, and the handler was installed after about half a second of imports. Settings that were written again just after a start ended the host; told to stop in that time it ended with the status of a failure.

Change: both signals are taken in the first lines of the program. The file's stamp is taken before it is read, so that a change in between is read again. The certificates that aiohttp reads at its import are left out also where the environment names a file of them (60 to 80 ms of 0.4 s here).

Ruled out: a kill by the soak itself, it had sent SIGHUP and SIGTERM alone.

--- a/buckthornhold/footprints.py
+++ b/buckthornhold/footprints.py
@@ -50,7 +50,7 @@
     aiohttp reads all of the machine's certificates when it is imported, and
     a host speaks no TLS. Nothing that imports make is to be collected.
     """
-    os.environ.setdefault("SSL_CERT_FILE", os.devnull)
+    os.environ["SSL_CERT_FILE"] = os.devnull
     gc.disable()
 
 
--- a/buckthornhold/platform/__main__.py
+++ b/buckthornhold/platform/__main__.py
@@ -1,7 +1,9 @@
 """Entry point of the daemon on the users' platform."""
 
 from buckthornhold import footprints
+from buckthornhold import start_signals
 
+start_signals.take()
 footprints.limit_arenas()
 footprints.hasten_start()
 
--- a/buckthornhold/relay_processes.py
+++ b/buckthornhold/relay_processes.py
@@ -22,13 +22,22 @@
 SETTINGS_INTERVAL = 2.0
 
 
+#: When a file was written last, in nanoseconds, and its size in bytes.
+Stamp = tuple[int, int]
+
+
 class Reloader:
-    """Reads the settings file again when it changed or a signal says so."""
+    """Reads the settings file again when it changed or a signal says so.
+
+    ``seen`` is the file's stamp from before it was read first.
+    """
 
-    def __init__(self, *, path: str, host: relay_hosts.RelayHost) -> None:
+    def __init__(
+        self, *, path: str, host: relay_hosts.RelayHost, seen: Stamp | None
+    ) -> None:
         self._path = path
         self._host = host
-        self._seen = self._read_stamp()
+        self._seen = seen
 
     def reload(self) -> None:
         """Read the file; settings that can't be read change nothing."""
@@ -40,31 +49,42 @@
             return
         self._host.adopt_settings(config)
 
+    def look(self) -> None:
+        """Read the file again if it changed since it was read."""
+        if self._read_stamp() != self._seen:
+            self.reload()
+
     async def watch(self) -> None:
         """Look for changes until cancelled."""
         while True:
             await asyncio.sleep(SETTINGS_INTERVAL)
-            if self._read_stamp() != self._seen:
-                self.reload()
+            self.look()
 
-    def _read_stamp(self) -> tuple[int, int] | None:
+    def _read_stamp(self) -> Stamp | None:
         try:
-            status = os.stat(self._path)
+            return read_stamp(self._path)
         except OSError as error:
             self._host.logger.bind(step="reload", peer=self._path).warning(
                 f"the settings file is not there: {error.strerror}"
             )
             return None
-        return (status.st_mtime_ns, status.st_size)
+
+
+def read_stamp(path: str) -> Stamp:
+    """Return what tells that a file has changed; raises OSError."""
+    status = os.stat(path)
+    return (status.st_mtime_ns, status.st_size)
 
 
 async def serve(
     config: relay_settings.RelaySettings,
     path: str,
     platform: relay_platforms.Platform,
+    seen: Stamp | None,
 ) -> int:
     """Run a relay host until a termination signal, then drain.
 
+    ``seen`` is the stamp of the settings file from before it was read.
     Returns the exit code.
     """
     stopped = asyncio.Event()
@@ -72,7 +92,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped.set)
     host = relay_hosts.RelayHost(config=config, platform=platform)
-    reloader = Reloader(path=path, host=host)
+    reloader = Reloader(path=path, host=host, seen=seen)
     loop.add_signal_handler(signal.SIGHUP, reloader.reload)
     try:
         await host.start()
@@ -93,6 +113,8 @@
 
 def run(path: str, *, platform: relay_platforms.Platform) -> None:
     """Read the settings and serve; ends the process."""
+    # A file that can't be looked at is refused by reading it.
+    seen = read_stamp(path) if os.path.exists(path) else None
     config = relay_settings.load(path)
     if isinstance(config, reasons.Failure):
         print(config.detail, file=sys.stderr)
@@ -103,4 +125,4 @@
         zone=config.zone,
         stream=sys.stdout,
     )
-    sys.exit(asyncio.run(serve(config, path, platform)))
+    sys.exit(asyncio.run(serve(config, path, platform, seen)))
