Add a seeded soak of relay hosts as processes

Links, signals, stepped clocks and the store misbehave by a plan that the seed gives, in series and overlapping.

Not harmed yet: links between hosts.

--- a/buckthornhold/standins/users_platforms.py
+++ b/buckthornhold/standins/users_platforms.py
@@ -21,7 +21,8 @@
     """Keys with revisions, leases and watches.
 
     ``down`` refuses all calls with 503, ``lost_answers`` is how many of the
-    next writes are done and not answered.
+    next writes are done and not answered, ``delay_seconds`` is waited before
+    each call.
     """
 
     def __init__(self) -> None:
@@ -31,6 +32,7 @@
         self.first_revision = 1
         self.down = False
         self.lost_answers = 0
+        self.delay_seconds = 0.0
         self.calls = 0
         self._leases: dict[int, tuple[float, float]] = {}
         self._next_lease = 1
@@ -79,6 +81,8 @@
     async def answer(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one call."""
         self.calls += 1
+        if self.delay_seconds:
+            await asyncio.sleep(self.delay_seconds)
         if self.down:
             return web.Response(status=503)
         self._end_leases()
@@ -223,15 +227,7 @@
             return web.Response(status=421)
         if word == "not_run":
             return web.Response(status=503, headers={"Not-Executed": "1"})
-        self.ran.append(request_id)
-        self.seen.append(
-            {
-                **request.headers,
-                "path": request.raw_path,
-                "method": request.method,
-                "body": body.decode(),
-            }
-        )
+        self._note_run(request, body.decode())
         await asyncio.sleep(self.work_seconds)
         if word == "lost":
             reset(request.transport)
@@ -259,6 +255,17 @@
             )
         return web.Response(status=status, text=text, headers=fields)
 
+    def _note_run(self, request: web.BaseRequest, body: str) -> None:
+        self.ran.append(request.headers["Attempt-Id"])
+        self.seen.append(
+            {
+                **request.headers,
+                "path": request.raw_path,
+                "method": request.method,
+                "body": body,
+            }
+        )
+
     def _send_extra(self, transport) -> None:
         if not transport.is_closing():
             transport.write(
--- a/testbed/relay_fleets.py
+++ b/testbed/relay_fleets.py
@@ -125,11 +125,16 @@
         self, name: str, events: int, version: str = "v1"
     ) -> None:
         """Start a worker and list it."""
-        worker = users_platforms.WireWorker(name=name, events=events)
+        worker = self._make_worker(name, events)
         self.workers[name] = worker
         self._addresses[name] = await self._serve(worker.answer)
         self.list_worker(name, version=version)
 
+    def _make_worker(
+        self, name: str, events: int
+    ) -> users_platforms.WireWorker:
+        return users_platforms.WireWorker(name=name, events=events)
+
     def list_worker(
         self, name: str, state: str = "ready", version: str = "v1"
     ) -> None:
--- /dev/null
+++ b/testbed/soak_plans.py
@@ -0,0 +1,101 @@
+"""Soak plans: seeded faults over relay hosts, in series and overlapping."""
+
+import dataclasses
+import random
+
+#: Faults of processes, of links and of the store; the target says which.
+HOST_KINDS = ("kill", "stop", "freeze", "reload", "step clock")
+LINK_KINDS = ("delay", "reset", "silence", "cut to", "cut from")
+STORE_KINDS = ("down", "lost answers", "forget history", "slow")
+UPSTREAM_KINDS = (
+    "crash",
+    "drain",
+    "swap address",
+    "slow answers",
+    "odd answers",
+)
+OPERATOR_KINDS = ("revoke key", "new configuration")
+#: How often each group is drawn, and what its faults are brought over.
+GROUPS = (
+    ("host", HOST_KINDS, 5),
+    ("store link", LINK_KINDS, 2),
+    ("upstream link", LINK_KINDS, 3),
+    ("caller link", LINK_KINDS, 1),
+    ("store", STORE_KINDS, 2),
+    ("upstream", UPSTREAM_KINDS, 4),
+    ("operator", OPERATOR_KINDS, 2),
+)
+#: How long faults last, in seconds, and the time between their beginnings:
+#: shorter than they last, so that most overlap another one.
+LENGTHS = (0.4, 4.0)
+PAUSES = (0.2, 1.8)
+#: Every so many plans all hosts are killed, or told to stop, at once.
+ALL_HOSTS_EACH = 3
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class SoakFault:
+    """One fault; ``start`` and ``length`` are in seconds.
+
+    ``target`` counts through what its group is brought over.
+    """
+
+    group: str
+    kind: str
+    start: float
+    length: float
+    target: int
+
+    @property
+    def ends(self) -> float:
+        """When it is mended, in seconds from the beginning."""
+        return self.start + self.length
+
+
+def plan_faults(*, seed: int, seconds: float) -> list[SoakFault]:
+    """Return the faults of a seed that begin within ``seconds``."""
+    rng = random.Random(f"soak {seed}")
+    weights = [weight for _, _, weight in GROUPS]
+    faults = []
+    start = rng.uniform(*PAUSES)
+    while start < seconds:
+        group, kinds, _ = rng.choices(GROUPS, weights)[0]
+        faults.append(
+            SoakFault(
+                group=group,
+                kind=rng.choice(kinds),
+                start=start,
+                length=rng.uniform(*LENGTHS),
+                target=rng.randrange(1000),
+            )
+        )
+        start += rng.uniform(*PAUSES)
+    if seed % ALL_HOSTS_EACH == 0:
+        faults.append(
+            SoakFault(
+                group="all hosts",
+                kind=rng.choice(("kill", "stop")),
+                start=seconds,
+                length=rng.uniform(*LENGTHS),
+                target=0,
+            )
+        )
+    return faults
+
+
+def drop_clashes(faults: list[SoakFault]) -> list[SoakFault]:
+    """Leave out faults of a group and target that has one already.
+
+    A process can't be told to stop while it is frozen, nor killed twice.
+    """
+    kept: list[SoakFault] = []
+    for fault in faults:
+        clash = any(
+            it.group == fault.group
+            and it.target == fault.target
+            and it.ends > fault.start
+            for it in kept
+        )
+        if not clash:
+            kept.append(fault)
+    return kept
