Tell a request's story from hosts' logs with buckthornctl

'buckthornctl explain log ID [FILE...]' reads files or a pipe, and prints the request's own lines among those that say what its hosts believed then: of the upstreams that it went to, of the store, of other hosts, of themselves. Lines that can't be read are named with their place. Without a network: log_stories.

--- a/buckthornhold/tools/explain_commands.py
+++ b/buckthornhold/tools/explain_commands.py
@@ -1,12 +1,16 @@
 """Commands that explain a request or a rule."""
 
+from collections.abc import Iterable
 import dataclasses
+import pathlib
+import sys
 import typing
 import urllib.parse
 
 import cappa
 
 from buckthornhold import grammars
+from buckthornhold import log_stories
 from buckthornhold import rules
 from buckthornhold.tools import exits
 from buckthornhold.tools import rule_commands
@@ -167,9 +171,69 @@
         print(f"  not reached: {', '.join(item['unreached'])}")
 
 
+@cappa.command(name="log")
+@dataclasses.dataclass(kw_only=True)
+class ExplainLog:
+    """Tell a request's story from hosts' logs, without asking a host."""
+
+    request_id: typing.Annotated[str, cappa.Arg(help="The request's id")]
+    files: typing.Annotated[
+        list[pathlib.Path],
+        cappa.Arg(help="Logs of hosts; standard input without any"),
+    ] = dataclasses.field(default_factory=list)
+    json: rule_commands.Json = False
+
+    def __call__(self) -> None:
+        """Run the command."""
+        try:
+            log = log_stories.read_log(_read_texts(self.files))
+        except OSError as error:
+            tables.print_error(str(error))
+            raise cappa.Exit(code=exits.ExitCode.WRONG_INPUT) from error
+        if log.bad:
+            tables.print_error(
+                f"{len(log.bad)} lines can't be read, first {log.bad[0]}"
+            )
+        story = log_stories.tell(log, self.request_id)
+        if not story.own:
+            tables.print_error(
+                f"none of {len(log.lines)} lines names {self.request_id!r}"
+            )
+            raise cappa.Exit(code=exits.ExitCode.WRONG_INPUT)
+        if self.json:
+            targets.print_json(
+                [it.model_dump(mode="json") for it in story.lines]
+            )
+            return
+        for line in story.lines:
+            print(format_line(line, own=line.request_id == self.request_id))
+
+
+def _read_texts(paths: list[pathlib.Path]) -> Iterable[tuple[str, str]]:
+    """Return each line with its place, of files or of standard input."""
+    if not paths:
+        for number, text in enumerate(sys.stdin, start=1):
+            yield f"line {number}", text
+    for path in paths:
+        with path.open(errors="replace") as lines:
+            for number, text in enumerate(lines, start=1):
+                yield f"{path}, line {number}", text
+
+
+def format_line(line: log_stories.Line, *, own: bool) -> str:
+    """Return a log line for people; a request's own ones are marked."""
+    time = line.time.time().isoformat(timespec="milliseconds")
+    mark = "*" if own else " "
+    peer = f" {line.peer}" if line.peer else ""
+    reason = f" ({line.reason})" if line.reason else ""
+    return f"{mark} {time} {line.host} {line.step}{peer}{reason}: " + (
+        line.message
+    )
+
+
 @cappa.command(name="explain")
 @dataclasses.dataclass(kw_only=True)
 class Explain:
     """Explain a request or a rule."""
 
-    command: cappa.Subcommands[ExplainRequest | ExplainRule]
+    command: cappa.Subcommands[ExplainRequest | ExplainRule | ExplainLog]
