Read the list before streams leave an engine by its own word

Cause: an engine's own word that it leaves may overtake the list that says when. Without the time two seconds are assumed, less a margin of two, so every stream was moved at once, also one that would have ended long before.

Change: the list is read once, for 0.5 s at most, before streams are moved off an engine whose time is not known. One that says nothing, or can't be read, leaves things as they were.

Ruled out: slow tokens. The notice was 20 s and the streams had 150 tokens.

--- a/buckthornhold/transfers.py
+++ b/buckthornhold/transfers.py
@@ -26,6 +26,9 @@
 CARRY_SECONDS_PER_TOKEN = 0.0001
 CARRY_SECONDS_WEIGHT = 0.2
 RECHECK_SECONDS = 0.5
+#: Longest wait for the list when an engine itself says that it leaves: a
+#: quarter of what it may have left when nobody says how long.
+NOTICE_TIMEOUT_SECONDS = 0.5
 
 
 class Slots:
@@ -122,7 +125,13 @@
             )
 
     async def _clear(self, upstream: upstreams.Upstream) -> None:
-        """Move every stream off an upstream, the costliest first."""
+        """Move every stream off an upstream, the costliest first.
+
+        An engine's own word that it leaves may overtake the list, which says
+        how long its streams may still take.
+        """
+        if upstream.leaves_at == math.inf:
+            await self._host.upstreams.read_list(NOTICE_TIMEOUT_SECONDS)
         moving = sorted(
             self._host.answers.list_on(upstream),
             key=lambda stream: -stream.cost,
--- a/buckthornhold/upstreams.py
+++ b/buckthornhold/upstreams.py
@@ -252,6 +252,16 @@
             self._settings.host_list_interval
         )
 
+    async def read_list(self, timeout: float) -> None:
+        """Read the host list now; takes ``timeout`` seconds at most."""
+        try:
+            async with asyncio.timeout(timeout):
+                await self.run_once()
+        except TimeoutError:
+            self._logger.bind(step="host list").warning(
+                f"the list was not read within {timeout:g} s"
+            )
+
     async def _ask_some(self) -> None:
         """Ask the engines of this host's part whether they leave.
 
--- /dev/null
+++ b/features/steps/own_word_steps.py
@@ -0,0 +1,113 @@
+"""Steps on engines that say themselves that they leave."""
+
+import asyncio
+import math
+import time
+import types
+
+import behave
+
+from buckthornhold import tasks
+from buckthornhold import transfers
+
+SECONDS_LEFT = 3.0
+#: Several looks whether a stream still fits.
+LOOKS = 3
+
+
+class Stream:
+    """A stream on one upstream that would take some seconds yet."""
+
+    cost = 1
+
+    def __init__(self, upstream):
+        self._upstream = upstream
+        self._ends_at = time.monotonic() + SECONDS_LEFT
+        self.contract = types.SimpleNamespace(request_id="r1")
+        self.moved = False
+
+    def is_on(self, upstream):
+        return upstream is self._upstream and not self.moved
+
+    def estimate_seconds_left(self):
+        return self._ends_at - time.monotonic()
+
+    def find_target(self, tried):
+        return types.SimpleNamespace(key=("other", 1))
+
+    async def move_to(self, target):
+        self.moved = True
+
+
+@behave.given("own word: the list has its notice of {seconds:g} s")
+def list_notice(context, seconds):
+    async def read(upstream, timeout):
+        upstream.leaves_at = time.monotonic() + seconds
+
+    context.read = read
+
+
+@behave.given("own word: the list says nothing of it")
+def list_nothing(context):
+    async def read(upstream, timeout):
+        await asyncio.sleep(0)
+
+    context.read = read
+
+
+@behave.given("own word: the list can't be read")
+def fail_list(context):
+    async def read(upstream, timeout):
+        await asyncio.sleep(timeout)
+
+    context.read = read
+
+
+@behave.when(
+    "own word: an engine with a stream of 3 s left says that it leaves"
+)
+def leave(context):
+    async def run():
+        upstream = types.SimpleNamespace(
+            key=("engine", 1), leaves_at=math.inf, engine=object()
+        )
+        context.stream = Stream(upstream)
+        counts = types.SimpleNamespace(count_event=lambda name: None)
+        host = types.SimpleNamespace(
+            counters=counts,
+            background=tasks.TaskSet(logger=None, counters=counts),
+            answers=types.SimpleNamespace(list_on=lambda it: [context.stream]),
+            upstreams=types.SimpleNamespace(
+                read_list=lambda timeout: context.read(upstream, timeout)
+            ),
+        )
+        config = types.SimpleNamespace(
+            carry_slots=1,
+            recompute_slots=1,
+            transfer_patience=1.0,
+            unknown_notice=2.0,
+            notice_margin=2.0,
+        )
+        moving = transfers.Transfers(host=host, config=config)
+
+        async def refuse(stream, upstream, target):
+            return False
+
+        moving._carry = refuse
+        clearing = asyncio.create_task(moving._clear(upstream))
+        await asyncio.wait(
+            [clearing], timeout=LOOKS * transfers.RECHECK_SECONDS
+        )
+        clearing.cancel()
+
+    asyncio.run(run())
+
+
+@behave.then("own word: the stream is left to end")
+def check_left(context):
+    assert not context.stream.moved
+
+
+@behave.then("own word: the stream is moved")
+def check_moved(context):
+    assert context.stream.moved
