--- a/buckthornhold/standins/users_platforms.py
+++ b/buckthornhold/standins/users_platforms.py
@@ -227,7 +227,7 @@
             return web.Response(status=421)
         if word == "not_run":
             return web.Response(status=503, headers={"Not-Executed": "1"})
-        self._note_run(request, body.decode())
+        self._note_run(request, body.decode(), word)
         await asyncio.sleep(self.work_seconds)
         if word == "lost":
             reset(request.transport)
@@ -255,7 +255,10 @@
             )
         return web.Response(status=status, text=text, headers=fields)
 
-    def _note_run(self, request: web.BaseRequest, body: str) -> None:
+    def _note_run(
+        self, request: web.BaseRequest, body: str, word: str
+    ) -> None:
+        """Note what was begun, and by which word it is to end."""
         self.ran.append(request.headers["Attempt-Id"])
         self.seen.append(
             {
--- a/features/soak/soak.feature
+++ b/features/soak/soak.feature
@@ -40,6 +40,7 @@
       | pay  | lost    | nothing else happens                   |                        |
       | pay  | lost    | its host was told to stop              | lost its answer        |
       | pay  | lost    | its host was told to stop in a cut     |                        |
+      | pay  | lost    | its upstream broke off at a stop       |                        |
       | pay  | hung    | nothing else happens                   | no answer              |
       | pay  | hung    | its host was frozen                    |                        |
 
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -216,6 +216,12 @@
     disturb(context)
 
 
+@behave.when("soak: its upstream broke off at a stop")
+def break_off_at_stop(context):
+    stop_host(context)
+    change_run(context.request, odd=True)
+
+
 @behave.when("soak: its host was frozen")
 def disturb(context):
     context.history.disturbed["h"].append((SENT_AT - 6, SENT_AT - 3))
--- a/testbed/soak.py
+++ b/testbed/soak.py
@@ -218,6 +218,10 @@
     faults = soak_plans.drop_clashes(
         soak_plans.plan_faults(seed=seed, seconds=options.seconds)
     )
+    # Told to end, the soak ends its hosts as well.
+    asyncio.get_running_loop().add_signal_handler(
+        signal.SIGTERM, asyncio.current_task().cancel
+    )
     fleet = soak_fleets.SoakFleet(hosts=options.hosts, folder=folder)
     fleet.history.timed = not options.untimed
     found = []
--- a/testbed/soak_histories.py
+++ b/testbed/soak_histories.py
@@ -35,7 +35,10 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Run:
-    """An upstream has begun to work on a request."""
+    """An upstream has begun to work on a request.
+
+    ``odd`` tells that it was to break off, or to answer as nobody should.
+    """
 
     upstream: str
     at: float
@@ -43,7 +46,7 @@
     path: str
     body: str
     workspace: str
-    after: int = 0
+    odd: bool = False
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -200,7 +203,12 @@
 
 
 def _is_planned_loss(history: History, request: Request) -> bool:
-    """Tell whether a host was told to stop, and was else undisturbed."""
+    """Tell whether a host was told to stop, and was else undisturbed.
+
+    An upstream that broke off is no fault of the host's.
+    """
+    if any(it.odd for it in request.runs):
+        return False
     stops = history.planned[request.host]
     told_at = request.told_at
     return any(
