--- a/buckthornhold/logs.py
+++ b/buckthornhold/logs.py
@@ -1,10 +1,10 @@
 """JSON-lines logs with the fields that operators search by."""
 
 import atexit
-import collections
 import datetime
 import json
 import logging
+import queue
 import sys
 import threading
 
@@ -15,29 +15,21 @@
 #: Lines that wait for a slow reader; further ones are dropped.
 MAX_WAITING_LINES = 1000
 CLOSE_TIMEOUT = 1.0
-#: Time for which lines are gathered before they are written, in seconds:
-#: short beside the seconds that a kill of a host costs its callers.
-BATCH_SECONDS = 0.05
 
 
 class LineWriter:
     """Writes log lines from a thread of its own.
 
     A reader that has stopped reading must not stop the daemon: lines that
-    find no room are dropped and counted, and the log says how many. A line
-    is written at once; what follows it is gathered for ``BATCH_SECONDS``, as
-    it costs more to wake the thread than to make a line. A process that is
-    killed loses what it has gathered.
+    find no room are dropped and counted, and the log says how many.
     """
 
     def __init__(self, *, stream, host: str, zone: str) -> None:
         self._stream = stream
         self._place = {"host": host, "zone": zone}
-        self._lines: collections.deque[str] = collections.deque()
+        self._lines: queue.Queue[str | None] = queue.Queue(MAX_WAITING_LINES)
         self._dropped = 0
         self._counting = threading.Lock()
-        self._waiting = threading.Event()
-        self._closing = threading.Event()
         self._thread = threading.Thread(
             target=self._run, name="log", daemon=True
         )
@@ -45,41 +37,38 @@
 
     def write(self, message) -> None:
         """Take one log record of loguru, or drop it."""
-        if len(self._lines) >= MAX_WAITING_LINES:
-            self._count_dropped(1)
-            return
-        self._lines.append(format_record(message.record))
-        if not self._waiting.is_set():
-            self._waiting.set()
+        try:
+            self._lines.put_nowait(format_record(message.record))
+        except queue.Full:
+            with self._counting:
+                self._dropped += 1
 
     def close(self) -> None:
         """Write what waits, for a limited time."""
-        self._closing.set()
-        self._waiting.set()
+        try:
+            self._lines.put(None, timeout=CLOSE_TIMEOUT)
+        except queue.Full:
+            return
         self._thread.join(CLOSE_TIMEOUT)
 
     def _run(self) -> None:
-        while not self._closing.is_set() or self._lines:
-            self._waiting.wait()
-            self._waiting.clear()
-            lines = [self._lines.popleft() for _ in range(len(self._lines))]
+        line: str | None = ""
+        while line is not None:
+            line = self._lines.get()
             try:
-                self._write(lines)
+                self._write(line or "")
             except OSError:
-                self._count_dropped(len(lines))
-            self._closing.wait(BATCH_SECONDS)
-
-    def _count_dropped(self, count: int) -> None:
-        with self._counting:
-            self._dropped += count
+                with self._counting:
+                    self._dropped += 1
 
-    def _write(self, lines: list[str]) -> None:
+    def _write(self, line: str) -> None:
         with self._counting:
             dropped, self._dropped = self._dropped, 0
         if dropped:
-            lines.append(self._describe_dropped(dropped))
-        self._stream.write("".join(lines))
-        self._stream.flush()
+            line += self._describe_dropped(dropped)
+        self._stream.write(line)
+        if self._lines.empty():
+            self._stream.flush()
 
     def _describe_dropped(self, dropped: int) -> str:
         now = datetime.datetime.now().astimezone()
