Soak: harm the links between hosts, and cut zones off

Hosts reach each other by addresses that their settings translate, each by a link of its own. Faults of the network between hosts are drawn apart, so that the others of each seed stay what they were.

--- a/testbed/soak.py
+++ b/testbed/soak.py
@@ -132,10 +132,28 @@
             self._fleet.upstream_links[self._pick_upstream(fault)], fault
         )
 
+    async def _harm_peer_link(self, fault) -> None:
+        pairs = sorted(self._fleet.peer_links)
+        pair = pairs[fault.target % len(pairs)]
+        for number in pair:
+            self._disturb(self._fleet.processes[number].name, fault)
+        await self._harm_link(self._fleet.peer_links[pair], fault)
+
+    async def _harm_zone(self, fault) -> None:
+        self._disturb_all(fault)
+        zones = sorted({it.settings["zone"] for it in self._fleet.processes})
+        zone = zones[fault.target % len(zones)]
+        await self._harm_links(self._fleet.list_zone_links(zone), fault)
+
     async def _harm_link(self, link, fault) -> None:
-        link.harm(fault.kind)
+        await self._harm_links([link], fault)
+
+    async def _harm_links(self, links, fault) -> None:
+        for link in links:
+            link.harm(fault.kind)
         await asyncio.sleep(fault.length)
-        link.harm("")
+        for link in links:
+            link.harm("")
 
     async def _harm_store(self, fault) -> None:
         self._disturb_all(fault)
--- a/testbed/soak_fleets.py
+++ b/testbed/soak_fleets.py
@@ -156,8 +156,8 @@
 class SoakFleet(relay_fleets.RelayFleet):
     """Relay hosts as processes, with store, cloud and workers.
 
-    Links stand between each host and the store, before each worker, and
-    between each host and its callers. Hosts speak to each other directly.
+    Links stand between each host and the store, before each worker, between
+    each host and its callers, and from each host to each other one.
     """
 
     def __init__(self, *, hosts: int, folder: pathlib.Path) -> None:
@@ -171,6 +171,7 @@
         self.store_links: list[soak_links.Link] = []
         self.caller_links: list[soak_links.Link] = []
         self.upstream_links: dict[str, soak_links.Link] = {}
+        self.peer_links: dict[tuple[int, int], soak_links.Link] = {}
         self.keys = [relay_fleets.KEY, SECOND_KEY]
         self._folder = folder
 
@@ -190,7 +191,11 @@
             store_link = await self._open_link(store)
             self.store_links.append(store_link)
             settings = self._make_settings(number, peer, peers)
-            settings |= {"platform": store_link.address, "cloud": cloud}
+            settings |= {
+                "platform": store_link.address,
+                "cloud": cloud,
+                "translations": await self._open_peer_links(number, peers),
+            }
             self.caller_links.append(
                 await self._open_link(settings["listen"]["callers"])
             )
@@ -210,7 +215,8 @@
             if process.running:
                 await process.end(signal.SIGKILL)
         links = [*self.store_links, *self.caller_links]
-        for link in [*links, *self.upstream_links.values()]:
+        links += [*self.upstream_links.values(), *self.peer_links.values()]
+        for link in links:
             await link.stop()
         for runner in self._runners:
             await runner.cleanup()
@@ -258,6 +264,32 @@
     def _make_worker(self, name: str, events: int) -> SoakWorker:
         return SoakWorker(name=name, events=events, history=self.history)
 
+    async def _open_peer_links(
+        self, number: int, peers: list[str]
+    ) -> dict[str, str]:
+        """Return the addresses by which a host reaches the others."""
+        translations = {}
+        for other, peer in enumerate(peers):
+            if other != number:
+                link = await self._open_link(peer)
+                self.peer_links[number, other] = link
+                translations[peer] = link.address
+        return translations
+
+    def list_zone_links(self, zone: str) -> list[soak_links.Link]:
+        """Return the links of a zone's hosts to others and to the store."""
+        inside = {
+            number
+            for number, process in enumerate(self.processes)
+            if process.settings["zone"] == zone
+        }
+        crossing = [
+            link
+            for (source, target), link in self.peer_links.items()
+            if (source in inside) != (target in inside)
+        ]
+        return crossing + [self.store_links[it] for it in sorted(inside)]
+
     async def _open_link(self, target: str) -> soak_links.Link:
         link = soak_links.Link(target=target)
         await link.start()
--- a/testbed/soak_plans.py
+++ b/testbed/soak_plans.py
@@ -25,6 +25,13 @@
     ("upstream", UPSTREAM_KINDS, 4),
     ("operator", OPERATOR_KINDS, 2),
 )
+#: Faults of the network between hosts. They are drawn apart, so that the
+#: others of a seed stay what they were before there were these.
+NETWORK_GROUPS = (
+    ("peer link", LINK_KINDS, 2),
+    ("zone", ("silence", "reset"), 1),
+)
+NETWORK_PAUSES = (1.0, 6.0)
 #: How long faults last, in seconds, and the time between their beginnings:
 #: shorter than they last, so that most overlap another one.
 LENGTHS = (0.4, 4.0)
@@ -55,11 +62,28 @@
 def plan_faults(*, seed: int, seconds: float) -> list[SoakFault]:
     """Return the faults of a seed that begin within ``seconds``."""
     rng = random.Random(f"soak {seed}")
-    weights = [weight for _, _, weight in GROUPS]
+    faults = _draw(rng, GROUPS, PAUSES, seconds)
+    if seed % ALL_HOSTS_EACH == 0:
+        faults.append(
+            SoakFault(
+                group="all hosts",
+                kind=rng.choice(("kill", "stop")),
+                start=seconds,
+                length=rng.uniform(*LENGTHS),
+                target=0,
+            )
+        )
+    network = random.Random(f"soak network {seed}")
+    faults += _draw(network, NETWORK_GROUPS, NETWORK_PAUSES, seconds)
+    return sorted(faults, key=lambda it: it.start)
+
+
+def _draw(rng, groups, pauses, seconds: float) -> list[SoakFault]:
+    weights = [weight for *_, weight in groups]
     faults = []
-    start = rng.uniform(*PAUSES)
+    start = rng.uniform(*pauses)
     while start < seconds:
-        group, kinds, _ = rng.choices(GROUPS, weights)[0]
+        group, kinds, _ = rng.choices(groups, weights)[0]
         faults.append(
             SoakFault(
                 group=group,
@@ -69,17 +93,7 @@
                 target=rng.randrange(1000),
             )
         )
-        start += rng.uniform(*PAUSES)
-    if seed % ALL_HOSTS_EACH == 0:
-        faults.append(
-            SoakFault(
-                group="all hosts",
-                kind=rng.choice(("kill", "stop")),
-                start=seconds,
-                length=rng.uniform(*LENGTHS),
-                target=0,
-            )
-        )
+        start += rng.uniform(*pauses)
     return faults
 
 
