Ask the store less often for upstreams in large fleets

Change: a host of more than 12 gathers news for longer, in proportion, up to 1.2 s; one that sees nothing for 0.6 s more asks the others. Up to 12 hosts nothing changes.

Ruled out for now: one watcher a zone that tells the others; it saves more, and puts what must be in force within two seconds on one host's word.

--- a/buckthornhold/directories.py
+++ b/buckthornhold/directories.py
@@ -8,15 +8,31 @@
 from collections.abc import Callable
 import dataclasses
 import json
+import math
 import time
 
 from buckthornhold import stores
 from buckthornhold.coordination import broadcasts
 
 TOPIC = "directory"
-#: Upstreams write so often that a host which sees nothing for so long, in
-#: seconds, asks the others.
-QUIET_SECONDS = 1.0
+#: Upstreams write about once a second each, and every host sees all of it.
+#: A host of a fleet of up to BATCH_HOSTS gathers news for so long before it
+#: asks for more, in seconds; leaving ones have two seconds and more.
+BATCH_SECONDS = 0.4
+BATCH_HOSTS = 12
+#: Hosts of larger fleets gather them for longer, so that all ask the store
+#: about as often together, up to this: an upstream that leaves is to get
+#: nothing two seconds later.
+LONGEST_BATCH_SECONDS = 1.2
+#: Upstreams write so often that a host which sees nothing for so long after
+#: it asked for more, in seconds, asks the others.
+QUIET_SECONDS = 0.6
+
+
+def find_batch_seconds(host_count: int) -> float:
+    """Return for how long a host of a fleet gathers news, in seconds."""
+    longer = BATCH_SECONDS * max(1.0, host_count / BATCH_HOSTS)
+    return min(LONGEST_BATCH_SECONDS, longer)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -61,7 +77,8 @@
     ``decode`` reads an entry's text; it raises ValueError for one that names
     no upstream to use, as others may write there, too. ``notify`` is called
     after each change. ``return_time`` is the time in seconds in which lapsed
-    entries return after an outage.
+    entries return after an outage. ``count_hosts`` tells how many hosts the
+    fleet has.
     """
 
     def __init__(
@@ -73,8 +90,10 @@
         logger,
         notify: Callable[[], None] = lambda: None,
         clock: Callable[[], float] = time.monotonic,
+        count_hosts: Callable[[], int] = lambda: 1,
     ) -> None:
         self._prefix = prefix
+        self._count_hosts = count_hosts
         self._decode = decode
         self._return_time = return_time
         self._logger = logger
@@ -84,7 +103,7 @@
         self._revision = 0
         self._loaded = False
         self._away = False
-        self._news_at = -QUIET_SECONDS
+        self._news_at = -math.inf
         self._back_at = -return_time
 
     @property
@@ -100,7 +119,13 @@
     @property
     def needs_others(self) -> bool:
         """Whether the store may tell this host less than the others."""
-        return self._away or self._clock() - self._news_at > QUIET_SECONDS
+        quiet = self.batch_seconds + QUIET_SECONDS
+        return self._away or self._clock() - self._news_at > quiet
+
+    @property
+    def batch_seconds(self) -> float:
+        """For how long news are gathered before more are asked for."""
+        return find_batch_seconds(self._count_hosts())
 
     def list_records(self) -> list[UpstreamRecord]:
         """Return the upstreams that are listed, leaving ones included."""
--- a/buckthornhold/followers.py
+++ b/buckthornhold/followers.py
@@ -19,8 +19,9 @@
     with what a watch saw. ``notify`` is called with False when the store
     does not answer and with True when it does again. One watch waits up to
     ``watch_seconds``, which bounds how long a connection that went silent
-    hides changes. ``batch_seconds`` after one that saw something the next
-    begins, so that many changes cost few calls.
+    hides changes. After one that saw something the next begins as many
+    seconds later as ``read_batch_seconds`` returns, so that many changes cost
+    few calls.
     """
 
     def __init__(
@@ -34,7 +35,7 @@
         logger,
         counters,
         notify: Callable[[bool], None] = lambda reached: None,
-        batch_seconds: float = 0.0,
+        read_batch_seconds: Callable[[], float] = lambda: 0.0,
     ) -> None:
         super().__init__(
             interval=RETRY_SECONDS, logger=logger, counters=counters
@@ -45,7 +46,7 @@
         self._take_all = take_all
         self._take_news = take_news
         self._notify = notify
-        self._batch_seconds = batch_seconds
+        self._read_batch_seconds = read_batch_seconds
         self._reached = True
 
     @property
@@ -72,7 +73,7 @@
             revision = max(revision, change.revision)
             if change.entries or change.deleted:
                 self._take_news(change)
-                await asyncio.sleep(self._batch_seconds)
+                await asyncio.sleep(self._read_batch_seconds())
 
     def _end_watch(self, failure: reasons.Failure) -> None:
         """Read again, at once if the store itself ended the watch."""
--- a/buckthornhold/relay_hosts.py
+++ b/buckthornhold/relay_hosts.py
@@ -2,8 +2,7 @@
 
 It shares membership, links, broadcasts, leases, logs and counters with
 ``daemons.EntryHost``. What the platform makes needless isn't started: no
-claims (a sending has one id and reaches one host), no handover records, no
-list relays.
+claims, as an id reaches one host, no handover records, no list relays.
 """
 
 import asyncio
@@ -55,9 +54,6 @@
 #: How long a host that ends still takes new connections, in seconds: until
 #: the balancer, which asks once a second, has missed two answers.
 LEAVE_SECONDS = 2.6
-#: Upstreams write about once a second each, and every host sees all of it;
-#: leaving ones have two seconds and more.
-DIRECTORY_BATCH_SECONDS = 0.4
 #: What is left of the grace for closing, in seconds.
 CLOSE_SECONDS = 0.6
 
@@ -124,11 +120,12 @@
             return_time=config.bounds.entry_return_seconds,
             logger=self.logger,
             notify=self._take_directory,
+            count_hosts=self._count_hosts,
         )
         self.upstreams = relay_upstreams.RelayUpstreams(host=self)
         self.quotas = quotas.Quotas(
             window_seconds=config.bounds.limit_window,
-            count_hosts=lambda: len(self.members.list_all()) + 1,
+            count_hosts=self._count_hosts,
             read_share=self._read_share,
         )
         self.usage = usages.UsageCounter(
@@ -318,6 +315,9 @@
             summary.uses.add(workspace=workspace, units=units)
         summary.demands.update(self.demands.read())
 
+    def _count_hosts(self) -> int:
+        return len(self.members.list_all()) + 1
+
     def _read_share(self) -> float:
         """Return the part of shared limits that the hosts heard may use."""
         silent = self.summaries.count_silent()
@@ -365,7 +365,7 @@
             take_all=self.directory.take_all,
             take_news=self.directory.take_news,
             notify=self.directory.note_store,
-            batch_seconds=DIRECTORY_BATCH_SECONDS,
+            read_batch_seconds=lambda: self.directory.batch_seconds,
         )
 
     def _make_follower(self, prefix: str, **options) -> followers.Follower:
--- a/features/relays/directories.feature
+++ b/features/relays/directories.feature
@@ -72,3 +72,20 @@
       | told of b just now       | not asked |
       | was quiet for 1.5 s      | asked     |
       | turns this host away     | asked     |
+
+  # The load pattern of a large fleet: each upstream writes once a second, and
+  # each of many hosts wants to see it.
+  Scenario Outline: Many hosts ask the store for news of upstreams
+    Given directory: a fleet of <hosts> hosts, and 45 upstreams that write
+    When directory: 20 seconds pass at one of its hosts
+    Then directory: all hosts together ask at most <calls> times a second
+    And directory: an upstream that leaves is seen within <seconds> seconds
+    And directory: no other host is asked
+
+    Examples:
+      | hosts | calls | seconds |
+      | 1     | 3     | 0.5     |
+      | 12    | 30    | 0.5     |
+      | 18    | 31    | 0.7     |
+      | 63    | 53    | 1.3     |
+      | 390   | 325   | 1.3     |
--- a/features/steps/relay_directory_steps.py
+++ b/features/steps/relay_directory_steps.py
@@ -27,7 +27,7 @@
 class Listing:
     """A store's entries, and the directory that is told of them."""
 
-    def __init__(self):
+    def __init__(self, **options):
         self.now = 50.0
         self.revision = 10
         self.values = {}
@@ -37,6 +37,7 @@
             return_time=RETURN_SECONDS,
             logger=logs.bind(host="h", zone="a"),
             clock=lambda: self.now,
+            **options,
         )
 
     def make_entry(self, name, values):
@@ -228,3 +229,52 @@
 def check_asked(context, asked):
     needed = context.listing.directory.needs_others
     assert needed is (asked == "asked"), needed
+
+
+@behave.given(
+    "directory: a fleet of {hosts:d} hosts, and {count:d} upstreams that write"
+)
+def use_fleet(context, hosts, count):
+    context.hosts = hosts
+    context.pause = 1.0 / count
+    context.listing = Listing(count_hosts=lambda: hosts)
+
+
+@behave.when("directory: {seconds:g} seconds pass at one of its hosts")
+def follow(context, seconds):
+    """Ask as a follower does: some time after the last news, until more."""
+    listing = context.listing
+    begun = listing.now
+    context.calls = 0
+    context.lags = []
+    context.asked_others = 0
+    while listing.now < begun + seconds:
+        pause = listing.directory.batch_seconds
+        context.lags.append(pause + context.pause)
+        listing.now += pause + context.pause
+        context.asked_others += context.calls and int(
+            listing.directory.needs_others
+        )
+        context.calls += 1
+        listing.write("a", {"leaving": False})
+    context.seconds = listing.now - begun
+
+
+@behave.then(
+    "directory: all hosts together ask at most {calls:g} times a second"
+)
+def check_calls(context, calls):
+    asked = context.calls / context.seconds * context.hosts
+    assert asked <= calls, asked
+
+
+@behave.then(
+    "directory: an upstream that leaves is seen within {seconds:g} seconds"
+)
+def check_lag(context, seconds):
+    assert max(context.lags) <= seconds, max(context.lags)
+
+
+@behave.then("directory: no other host is asked")
+def check_not_asked(context):
+    assert context.asked_others == 0
