Count a slot for each stream when engines are ordered

Cause: what a request asks of an engine took 0.1 ms for each token of its answer, which is what 128 slots share.

Change: a request bears its slot's part of the engine's steps. With 128 slots that is the same 0.1 ms, with 16 it is 0.36 ms.

The scenarios fail with the former figure for 16 and 8 slots.

--- a/buckthornhold/relay_requests.py
+++ b/buckthornhold/relay_requests.py
@@ -111,7 +111,7 @@
                     ),
                     retry_after=wait,
                 )
-        self._host.demands.add(service, fleet_sizes.find_engine_seconds(work))
+        self._note_demand(service, work)
         urgency = route.urgency
         if workspace is not None and workspace.urgency is not None:
             urgency = workspace.urgency
@@ -137,6 +137,14 @@
             resume_after=asked.resume_after if route.resumable else "",
         )
 
+    def _note_demand(self, service: str, work: relay_routers.Work) -> None:
+        """Count what a request asks of a service's engines, if it has any."""
+        found = self._host.configurations.current.services.get(service)
+        if found is None or found.engine is None:
+            return
+        seconds = fleet_sizes.find_engine_seconds(work, found.engine.slots)
+        self._host.demands.add(service, seconds)
+
     async def run(
         self,
         request: relay_messages.RelayRequest,
--- a/features/relays/fleet_sizes.feature
+++ b/features/relays/fleet_sizes.feature
@@ -67,3 +67,17 @@
     When sizes: the move is over
     And sizes: a demand of 2.5 engines is seen for 30 seconds
     Then sizes: there are at most 3 on-demand upstreams
+
+  # The load pattern of long answers: prompts are short, and streams keep
+  # slots for seconds.
+  Scenario Outline: Long answers need a slot each
+    Given sizes: engines of <slots> slots
+    When sizes: <rate> answers of <tokens> tokens a second are asked for
+    Then sizes: the engines that bear this have a slot for each at once
+
+    Examples:
+      | slots | rate | tokens |
+      | 128   | 200  | 280    |
+      | 16    | 32   | 280    |
+      | 16    | 136  | 50     |
+      | 8     | 32   | 280    |
--- a/features/steps/relay_sizes_steps.py
+++ b/features/steps/relay_sizes_steps.py
@@ -4,6 +4,7 @@
 
 from buckthornhold import directories
 from buckthornhold import fleet_sizes
+from buckthornhold import relay_routers
 from buckthornhold import routes
 
 ZONES = ("a", "b", "c")
@@ -13,6 +14,10 @@
 #: Part of its time that an engine may be busy and still answer in time.
 MOST_LOAD = 0.8
 MOST = 6
+#: How long an engine's step takes, and longer for each request in it, as the
+#: deployments' pages and site files say, in seconds.
+STEP_SECONDS = 0.00484
+STEP_SECONDS_PER_REQUEST = 0.0000725
 
 
 class CloudBench:
@@ -217,3 +222,25 @@
 def check_none_given_back(context):
     found = len(context.cloud.list_staying())
     assert found >= context.during_move, (found, context.during_move)
+
+
+@behave.given("sizes: engines of {slots:d} slots")
+def use_slots(context, slots):
+    context.slots = slots
+
+
+@behave.when(
+    "sizes: {rate:g} answers of {tokens:d} tokens a second are asked for"
+)
+def ask_long_answers(context, rate, tokens):
+    work = relay_routers.Work(output_tokens=tokens)
+    seconds = fleet_sizes.find_engine_seconds(work, context.slots)
+    context.engines = rate * seconds / fleet_sizes.ENGINE_SHARE
+    step = STEP_SECONDS + context.slots * STEP_SECONDS_PER_REQUEST
+    context.at_once = rate * tokens * step
+
+
+@behave.then("sizes: the engines that bear this have a slot for each at once")
+def check_slots(context):
+    slots = context.engines * context.slots
+    assert slots >= context.at_once, (slots, context.at_once)
