--- /dev/null
+++ b/features/steps/relay_crash_steps.py
@@ -0,0 +1,209 @@
+"""Steps on requests that crash the upstreams that run them."""
+
+import asyncio
+import time
+
+import behave
+
+from buckthornhold.standins import users_platforms
+from testbed import relay_fleets
+
+CRASHING = b"crashes whoever runs it"
+#: How long a crashed upstream is away, in seconds.
+AWAY_SECONDS = 0.5
+#: Time between two copies of the request, in seconds.
+PAUSE_SECONDS = 0.7
+RACING_WORKERS = 4
+
+
+class CrashingWorker(users_platforms.WireWorker):
+    """A worker that crashes under a request with a certain body."""
+
+    def __init__(self, *, crash, **kwargs) -> None:
+        super().__init__(**kwargs)
+        self._crash = crash
+        self.crashed_at: list[float] = []
+
+    async def answer(self, request):
+        if await request.read() != CRASHING:
+            return await super().answer(request)
+        self.crashed_at.append(time.monotonic())
+        await self._crash(self.name)
+        raise ConnectionResetError("crashed")
+
+
+class CrashFleet(relay_fleets.RelayFleet):
+    """Relay hosts before upstreams that crash and return."""
+
+    def _make_worker(self, name, events):
+        return CrashingWorker(name=name, events=events, crash=self._crash)
+
+    async def _crash(self, name: str) -> None:
+        link = self.upstream_links[name]
+        await link.refuse()
+        link.reset()
+        asyncio.get_running_loop().create_task(self._return(name))
+
+    async def _return(self, name: str) -> None:
+        await asyncio.sleep(AWAY_SECONDS)
+        await self.upstream_links[name].accept()
+        self.list_worker(name, born=time.time_ns() // 1_000_000)
+
+    def list_crashes(self) -> list[float]:
+        """Return when upstreams crashed, in order."""
+        found = [it.crashed_at for it in self.workers.values()]
+        return sorted(moment for moments in found for moment in moments)
+
+
+@behave.fixture
+def run_crash_fleet(context, hosts):
+    fleet = CrashFleet(hosts=hosts, linked=True)
+    fleet.start()
+    for number in range(3, 3 + RACING_WORKERS):
+        fleet.run(fleet.add_worker(f"plain-{number}", 0))
+        fleet.run(fleet.add_worker(f"model-{number}", relay_fleets.EVENTS))
+    fleet.run(asyncio.sleep(1.0))
+    yield fleet
+    fleet.stop()
+
+
+@behave.given(
+    "wire: {count:d} relay hosts before upstreams that can be crashed"
+)
+def use_crash_fleet(context, count):
+    context.fleet = behave.use_fixture(run_crash_fleet, context, hosts=count)
+    context.copies = []
+
+
+@behave.when(
+    "wire: a crashing request is sent to {path} {count:d} times, at hosts in "
+    "turn"
+)
+def send_copies(context, path, count):
+    fleet = context.fleet
+
+    async def run():
+        for number in range(count):
+            host = number % len(fleet.hosts)
+            before = len(fleet.list_crashes())
+            answer = await fleet.send(path, host=host, body=CRASHING)
+            ran = len(fleet.list_crashes()) - before
+            context.copies.append((answer.status, ran))
+            await asyncio.sleep(PAUSE_SECONDS)
+
+    fleet.run(run())
+
+
+@behave.then("wire: at most {count:d} upstreams have crashed")
+def check_crashes(context, count):
+    found = len(context.fleet.list_crashes())
+    assert 1 <= found <= count, (found, context.copies)
+
+
+@behave.then(
+    "wire: at most {count:d} of them more than {seconds:g} seconds after the "
+    "third"
+)
+def check_late_crashes(context, count, seconds):
+    crashes = context.fleet.list_crashes()
+    late = [it for it in crashes[3:] if it > crashes[2] + seconds]
+    assert len(late) <= count, crashes
+
+
+@behave.then("wire: its last copies were refused with {status:d} and not run")
+def check_refused(context, status):
+    assert context.copies[-3:] == [(status, 0)] * 3, context.copies
+
+
+@behave.then("wire: other requests to {path} are served by each host")
+def check_others(context, path):
+    fleet = context.fleet
+    for host in range(len(fleet.hosts)):
+        answer = fleet.run(fleet.send(path, host=host, body=b"another"))
+        assert answer.status == 200, answer.status
+        assert not answer.broken
+
+
+@behave.then("wire: the same request to {path} is served by each host")
+def check_same(context, path):
+    fleet = context.fleet
+    for host in range(len(fleet.hosts)):
+        answer = fleet.run(fleet.send(path, host=host))
+        assert answer.status == 200, answer.status
+
+
+@behave.when("wire: hosts reach each other no more")
+def cut_hosts(context):
+    for link in context.fleet.peer_links.values():
+        link.harm("silence")
+
+
+@behave.when("wire: all hosts start anew")
+def start_anew(context):
+    context.fleet.run(context.fleet.restart_hosts())
+
+
+@behave.when(
+    "wire: {count:d} other requests to {path} are running while it is sent "
+    "{copies:d} times"
+)
+def run_beside(context, count, path, copies):
+    fleet = context.fleet
+    for worker in fleet.workers.values():
+        worker.work_seconds = 0.2
+
+    async def call(number):
+        """Send a request as callers do, at most twice."""
+        for attempt in range(2):
+            answer = await fleet.send(
+                path,
+                host=(number + attempt) % len(fleet.hosts),
+                body=f"other {number}".encode(),
+            )
+            if answer.status == 200 and not answer.broken:
+                break
+        return answer
+
+    async def run():
+        answers = []
+        for number in range(copies):
+            others = [
+                asyncio.ensure_future(call(number * count + other))
+                for other in range(count)
+            ]
+            await asyncio.sleep(0.05)
+            await fleet.send(
+                path, host=number % len(fleet.hosts), body=CRASHING
+            )
+            answers += await asyncio.gather(*others)
+        return answers
+
+    context.others = fleet.run(run())
+
+
+@behave.then(
+    "wire: each of the others is served, at the latest when sent again"
+)
+def check_beside(context):
+    assert 1 <= len(context.fleet.list_crashes()) <= 3
+    failed = [
+        (it.status, it.body)
+        for it in context.others
+        if it.status != 200 or it.broken
+    ]
+    assert not failed, failed
+
+
+@behave.when("wire: upstreams break off {path} {count:d} times and run on")
+def break_off(context, path, count):
+    fleet = context.fleet
+
+    async def run():
+        for number in range(count):
+            for worker in fleet.workers.values():
+                worker.script = ["lost"]
+            await fleet.send(path, host=number % len(fleet.hosts))
+        for worker in fleet.workers.values():
+            worker.script = []
+
+    fleet.run(run())
--- /dev/null
+++ b/features/steps/relay_silence_steps.py
@@ -0,0 +1,158 @@
+"""Steps on relay hosts whose open connections go silent."""
+
+import asyncio
+import time
+
+import behave
+
+from testbed import relay_fleets
+
+#: As deploy/settings.json has them, in seconds.
+DEPLOYED_TIMEOUTS = {"platform_timeout": 1.0, "rules_watch_timeout": 3.0}
+#: Time between two questions whether a change is in force, in seconds.
+ASK_SECONDS = 0.05
+#: What hosts are given to fill their pools and to meet, in seconds.
+SETTLE_SECONDS = 2.0
+
+
+class LinkedFleet(relay_fleets.RelayFleet):
+    """Relay hosts behind links, with the deployment's own timeouts."""
+
+    def _make_timeouts(self):
+        return DEPLOYED_TIMEOUTS
+
+
+@behave.fixture
+def run_linked_fleet(context, hosts):
+    fleet = LinkedFleet(hosts=hosts, linked=True)
+    fleet.start()
+    yield fleet
+    fleet.stop()
+
+
+@behave.given("wire: {count:d} relay hosts with links that can be harmed")
+def use_linked_hosts(context, count):
+    context.fleet = behave.use_fixture(run_linked_fleet, context, hosts=count)
+    context.fleet.run(asyncio.sleep(SETTLE_SECONDS))
+
+
+@behave.when(
+    "wire: the watch on configurations has waited for {seconds:g} seconds"
+)
+def await_watch(context, seconds):
+    fleet = context.fleet
+    fleet.configure()
+    fleet.run(asyncio.sleep(seconds))
+
+
+@behave.when(
+    "wire: the host has made {count:d} more calls to the store at once"
+)
+def call_store(context, count):
+    """Leave as many idle connections to the store."""
+    store = context.fleet.hosts[0].store
+
+    async def run():
+        await asyncio.gather(*[store.get("none") for _ in range(count)])
+
+    context.fleet.run(run())
+
+
+def silence(context, links):
+    for link in links:
+        link.harm("silence open")
+    context.silenced_at = time.monotonic()
+
+
+@behave.when("wire: open connections to the store go silent")
+def silence_store(context):
+    silence(context, context.fleet.store_links)
+
+
+@behave.when("wire: open connections between hosts go silent")
+def silence_peers(context):
+    silence(context, context.fleet.peer_links.values())
+
+
+@behave.when("wire: open connections to upstreams go silent")
+def silence_upstreams(context):
+    silence(context, context.fleet.upstream_links.values())
+
+
+@behave.when("wire: the store turns the first host away")
+def turn_away(context):
+    link = context.fleet.store_links[0]
+    link.closed = True
+    link.reset()
+
+
+@behave.when(
+    "wire: {pause:g} seconds later a configuration without the key is written"
+)
+def take_key_later(context, pause):
+    left = context.silenced_at + pause - time.monotonic()
+    context.fleet.run(asyncio.sleep(max(0.0, left)))
+    context.fleet.configure(keys=("another",))
+
+
+@behave.then(
+    "wire: it is in force at each host {seconds:g} seconds after it fell "
+    "silent"
+)
+def check_in_force(context, seconds):
+    fleet = context.fleet
+
+    async def run():
+        left = context.silenced_at + seconds - time.monotonic()
+        await asyncio.sleep(max(0.0, left))
+        return [
+            (await fleet.send("/look/", host=number)).status
+            for number in range(len(fleet.hosts))
+        ]
+
+    statuses = fleet.run(run())
+    assert statuses == [401] * len(fleet.hosts), statuses
+
+
+@behave.when("wire: {path} is asked {count:d} times at once")
+def ask_at_once(context, path, count):
+    fleet = context.fleet
+
+    async def run():
+        return await asyncio.gather(*[fleet.send(path) for _ in range(count)])
+
+    answers = fleet.run(run())
+    assert all(it.status == 200 for it in answers), answers
+
+
+@behave.when("wire: {path} is asked for {seconds:g} seconds")
+def ask_for(context, path, seconds):
+    fleet = context.fleet
+
+    async def send():
+        sent_at = time.monotonic()
+        return sent_at, (await fleet.send(path)).status
+
+    async def run():
+        sendings = []
+        ends = time.monotonic() + seconds
+        while time.monotonic() < ends:
+            sendings.append(asyncio.ensure_future(send()))
+            await asyncio.sleep(ASK_SECONDS)
+        return await asyncio.gather(*sendings)
+
+    context.sent = fleet.run(run())
+
+
+@behave.then(
+    "wire: all that were sent {seconds:g} seconds after the silence are "
+    "answered with {status:d}"
+)
+def check_answered(context, seconds, status):
+    since = context.silenced_at + seconds
+    others = [
+        (round(sent_at - context.silenced_at, 2), found)
+        for sent_at, found in context.sent
+        if sent_at >= since and found != status
+    ]
+    assert not others, others
--- a/testbed/relay_fleets.py
+++ b/testbed/relay_fleets.py
@@ -12,6 +12,7 @@
 from buckthornhold import relay_settings
 from buckthornhold.platform import platforms
 from buckthornhold.standins import users_platforms
+from testbed import soak_links
 
 KEY = "key-of-shops"
 MODEL_SERVICE = "models"
@@ -21,15 +22,26 @@
 
 
 class RelayFleet:
-    """One or more relay hosts with store, cloud and workers."""
+    """One or more relay hosts with store, cloud and workers.
 
-    def __init__(self, *, hosts: int = 1, **bounds: float) -> None:
+    With ``linked`` links that can be harmed stand between each host and the
+    store, before each worker and from each host to each other one.
+    """
+
+    def __init__(
+        self, *, hosts: int = 1, linked: bool = False, **bounds: float
+    ) -> None:
         self.loop = asyncio.new_event_loop()
         self.store = users_platforms.WireStore()
         self.cloud = users_platforms.WireCloud()
         self.workers: dict[str, users_platforms.WireWorker] = {}
         self.hosts: list[relay_hosts.RelayHost] = []
         self.version = 0
+        self.store_links: list[soak_links.Link] = []
+        self.upstream_links: dict[str, soak_links.Link] = {}
+        self.peer_links: dict[tuple[int, int], soak_links.Link] = {}
+        self._links: list[soak_links.Link] = []
+        self._linked = linked
         self._host_count = hosts
         self._bounds = {"grace_seconds": 3.0, "usage_window": 1.0, **bounds}
         self._runners: list[web.ServerRunner] = []
@@ -81,9 +93,9 @@
                 },
                 seeds=tuple(self._peers),
                 duties=("usage", "scale"),
-                rules_watch_timeout=1.0,
+                **self._make_timeouts(),
                 bounds=self._bounds,
-                **self._platform,
+                **{**self._platform, **await self._make_links(number)},
             )
             host = relay_hosts.RelayHost(
                 config=config, platform=platforms.UsersPlatform()
@@ -95,6 +107,38 @@
             assert time.monotonic() < ends, "the relay hosts are not ready"
             await asyncio.sleep(0.02)
 
+    def _make_timeouts(self) -> dict[str, float]:
+        return {"rules_watch_timeout": 1.0}
+
+    async def _make_links(self, number: int) -> dict:
+        """Return the settings by which a host's traffic takes links."""
+        if not self._linked:
+            return {}
+        store_link = await self._open_link(self._platform["platform"])
+        self.store_links.append(store_link)
+        return {
+            "platform": store_link.address,
+            "translations": await self._open_peer_links(number, self._peers),
+        }
+
+    async def _open_peer_links(
+        self, number: int, peers: list[str]
+    ) -> dict[str, str]:
+        """Return the addresses by which a host reaches the others."""
+        translations = {}
+        for other, peer in enumerate(peers):
+            if other != number:
+                link = await self._open_link(peer)
+                self.peer_links[number, other] = link
+                translations[peer] = link.address
+        return translations
+
+    async def _open_link(self, target: str) -> soak_links.Link:
+        link = soak_links.Link(target=target)
+        await link.start()
+        self._links.append(link)
+        return link
+
     async def restart_hosts(self) -> None:
         """End all hosts without what a stopping one tells; start anew."""
         for host in self.hosts:
@@ -104,6 +148,8 @@
     async def _stop(self) -> None:
         for host in self.hosts:
             await host.stop()
+        for link in self._links:
+            await link.stop()
         for runner in self._runners:
             await runner.cleanup()
         others = asyncio.all_tasks() - {asyncio.current_task()}
@@ -127,7 +173,11 @@
         """Start a worker and list it."""
         worker = self._make_worker(name, events)
         self.workers[name] = worker
-        self._addresses[name] = await self._serve(worker.answer)
+        address = await self._serve(worker.answer)
+        if self._linked:
+            self.upstream_links[name] = await self._open_link(address)
+            address = self.upstream_links[name].address
+        self._addresses[name] = address
         self.list_worker(name, version=version)
 
     def _make_worker(
@@ -136,7 +186,11 @@
         return users_platforms.WireWorker(name=name, events=events)
 
     def list_worker(
-        self, name: str, state: str = "ready", version: str = "v1"
+        self,
+        name: str,
+        state: str = "ready",
+        version: str = "v1",
+        born: int = 0,
     ) -> None:
         """Write a worker's entry."""
         events = self.workers[name].events
@@ -151,6 +205,7 @@
                 "state": state,
                 "coldRemainingMs": 0,
                 "sequence": 1,
+                "born": born,
             },
         )
 
--- a/testbed/soak_fleets.py
+++ b/testbed/soak_fleets.py
@@ -168,10 +168,7 @@
             workspace="shops", events=relay_fleets.EVENTS, seals={}
         )
         self.processes: list[SoakHost] = []
-        self.store_links: list[soak_links.Link] = []
         self.caller_links: list[soak_links.Link] = []
-        self.upstream_links: dict[str, soak_links.Link] = {}
-        self.peer_links: dict[tuple[int, int], soak_links.Link] = {}
         self.keys = [relay_fleets.KEY, SECOND_KEY]
         self._folder = folder
 
@@ -264,18 +261,6 @@
     def _make_worker(self, name: str, events: int) -> SoakWorker:
         return SoakWorker(name=name, events=events, history=self.history)
 
-    async def _open_peer_links(
-        self, number: int, peers: list[str]
-    ) -> dict[str, str]:
-        """Return the addresses by which a host reaches the others."""
-        translations = {}
-        for other, peer in enumerate(peers):
-            if other != number:
-                link = await self._open_link(peer)
-                self.peer_links[number, other] = link
-                translations[peer] = link.address
-        return translations
-
     def list_zone_links(self, zone: str) -> list[soak_links.Link]:
         """Return the links of a zone's hosts to others and to the store."""
         inside = {
@@ -290,11 +275,6 @@
         ]
         return crossing + [self.store_links[it] for it in sorted(inside)]
 
-    async def _open_link(self, target: str) -> soak_links.Link:
-        link = soak_links.Link(target=target)
-        await link.start()
-        return link
-
     def _make_settings(self, number: int, peer: str, peers: list[str]):
         ports = [find_lasting_port() for _ in range(3)]
         return {
--- a/testbed/soak_links.py
+++ b/testbed/soak_links.py
@@ -26,6 +26,8 @@
         self._mended.set()
         self._server: asyncio.Server | None = None
         self._transports: set[asyncio.Transport] = set()
+        #: Never mended for the connections that were open at a silencing.
+        self._open_silence = asyncio.Event()
         self._copies: set[asyncio.Task] = set()
 
     async def start(self) -> None:
@@ -34,6 +36,17 @@
         port = self._server.sockets[0].getsockname()[1]
         self.address = f"127.0.0.1:{port}"
 
+    async def refuse(self) -> None:
+        """Listen no more, as where no process is; open connections stay."""
+        self._server.close()
+
+    async def accept(self) -> None:
+        """Listen again on the same port."""
+        port = int(self.address.rpartition(":")[2])
+        self._server = await asyncio.start_server(
+            self._pass, "127.0.0.1", port
+        )
+
     async def stop(self) -> None:
         """End all connections and stop listening."""
         self._server.close()
@@ -47,6 +60,8 @@
         self._fault = fault
         if fault == "reset":
             self.reset()
+        if fault == "silence open":
+            self.silence_open()
         if fault in ("silence", "cut to", "cut from"):
             self._mended.clear()
         else:
@@ -58,11 +73,20 @@
             users_platforms.reset(transport)
         self._transports.clear()
 
+    def silence_open(self) -> None:
+        """Have open connections pass nothing any more, without a reset.
+
+        New ones work.
+        """
+        self._open_silence.set()
+        self._open_silence = asyncio.Event()
+
     async def _pass(self, reader, writer) -> None:
         if self.closed:
             users_platforms.reset(writer.transport)
             return
         await self._wait("cut to")
+        silenced = self._open_silence
         ip, _, port = self.target.rpartition(":")
         try:
             up_reader, up_writer = await asyncio.open_connection(ip, int(port))
@@ -72,8 +96,12 @@
         ends = {writer.transport, up_writer.transport}
         self._transports |= ends
         copies = [
-            asyncio.ensure_future(self._copy(reader, up_writer, "cut to")),
-            asyncio.ensure_future(self._copy(up_reader, writer, "cut from")),
+            asyncio.ensure_future(
+                self._copy(reader, up_writer, "cut to", silenced)
+            ),
+            asyncio.ensure_future(
+                self._copy(up_reader, writer, "cut from", silenced)
+            ),
         ]
         self._copies |= set(copies)
         try:
@@ -86,7 +114,7 @@
                 end.abort()
             self._transports -= ends
 
-    async def _copy(self, reader, writer, cut: str) -> None:
+    async def _copy(self, reader, writer, cut: str, silenced) -> None:
         while True:
             try:
                 chunk = await reader.read(CHUNK_BYTES)
@@ -94,6 +122,9 @@
                 users_platforms.reset(writer.transport)
                 raise
             await self._wait(cut)
+            if silenced.is_set():
+                # What was sent on it is lost, and so is its end.
+                await asyncio.Event().wait()
             if self._fault == "delay":
                 await asyncio.sleep(DELAY_SECONDS)
             if not chunk:
