Log how long the store was silent, and what a request asks for

Hypotheses on the late configuration looked alike in the logs, as did those on requests that end upstreams. The lines on a store that does not answer and answers again now say for how long; each request's last line has a digest of caller, method, path and body, so that copies under other ids are found.

--- a/buckthornhold/followers.py
+++ b/buckthornhold/followers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import time
 
 from buckthornhold import reasons
 from buckthornhold import stores
@@ -48,6 +49,7 @@
         self._notify = notify
         self._read_batch_seconds = read_batch_seconds
         self._reached = True
+        self._answered_at = time.monotonic()
 
     @property
     def reached(self) -> bool:
@@ -70,6 +72,7 @@
             if isinstance(change, reasons.Failure):
                 self._end_watch(change)
                 return
+            self._answered_at = time.monotonic()
             revision = max(revision, change.revision)
             if change.entries or change.deleted:
                 self._take_news(change)
@@ -87,14 +90,18 @@
 
     def _note(self, failure: reasons.Failure | None) -> None:
         reached = failure is None
+        silent = time.monotonic() - self._answered_at
+        if reached:
+            self._answered_at = time.monotonic()
         if reached is self._reached:
             return
         self._reached = reached
         logger = self._logger.bind(step="store", peer=self._prefix)
         if reached:
-            logger.info("the store answers again")
+            logger.info(f"the store answers again, after {silent:.1f} s")
         else:
             logger.bind(reason=failure.reason.value).warning(
-                f"the store does not answer: {failure.detail}"
+                f"the store does not answer, since {silent:.1f} s: "
+                f"{failure.detail}"
             )
         self._notify(reached)
--- a/buckthornhold/platform/ingress.py
+++ b/buckthornhold/platform/ingress.py
@@ -146,6 +146,7 @@
                 output_tokens=counts[1] if counts else 0,
                 parts=parts or (),
                 resume_after=request.headers.get(names.LAST_EVENT, ""),
+                content=(request.method.encode(), target.encode(), body),
             ),
             names.Message(
                 method=request.method,
--- a/buckthornhold/relay_messages.py
+++ b/buckthornhold/relay_messages.py
@@ -21,7 +21,8 @@
     ``message`` is what the platform's client makes of the caller's request;
     nothing here looks into it. ``units`` is what it counts against its
     workspace's limit. ``resume_after`` is the last event that the caller
-    has of an earlier sending.
+    has of an earlier sending. ``content`` is a digest that requests have in
+    common which ask for the same, under any id.
     """
 
     contract: contracts.Contract
@@ -32,6 +33,7 @@
     workspace: routes.Workspace | None = None
     units: float = 1.0
     resume_after: str = ""
+    content: str = ""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/buckthornhold/relay_requests.py
+++ b/buckthornhold/relay_requests.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import hashlib
 import http
 import time
 import typing
@@ -18,6 +19,8 @@
 USUAL_URGENCY = 5
 #: How long a caller waits for a host that has no configuration yet, seconds.
 NOT_READY_SECONDS = 0.5
+#: Length of the digest by which requests for the same are known, in bytes.
+CONTENT_DIGEST_BYTES = 12
 
 STATUSES = {
     reasons.Reason.BAD_REQUEST: http.HTTPStatus.BAD_REQUEST,
@@ -35,6 +38,7 @@
 
     ``received_at`` is on the monotonic clock; ``seconds`` is how long the
     caller waits, None if it does not say. ``parts`` make up the prompt.
+    ``content`` is what is asked for, without what tells copies apart.
     """
 
     request_id: str
@@ -44,6 +48,7 @@
     output_tokens: int = 0
     parts: tuple[contracts.PromptPart, ...] = ()
     resume_after: str = ""
+    content: tuple[bytes, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -135,6 +140,9 @@
             workspace=workspace,
             units=units,
             resume_after=asked.resume_after if route.resumable else "",
+            content=make_content_digest(
+                workspace.name if workspace else "", asked.content
+            ),
         )
 
     def _note_demand(self, service: str, work: relay_routers.Work) -> None:
@@ -206,7 +214,7 @@
             f"{outcome} after {now - started_at:.3f} s, first "
             f"{answered_at - started_at:.3f} s, {relay.sendings} sendings, "
             f"expected {relay.expected:.3f} s, "
-            f"ran {relay.ran.value}, "
+            f"ran {relay.ran.value}, content {request.content}, "
             f"version {self._host.configurations.version}"
         )
         if failure is None:
@@ -245,6 +253,15 @@
     )
 
 
+def make_content_digest(workspace: str, content: tuple[bytes, ...]) -> str:
+    """Return what a caller's requests for the same have in common."""
+    digest = hashlib.blake2b(digest_size=CONTENT_DIGEST_BYTES)
+    for part in (workspace.encode(), *content):
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return digest.hexdigest()
+
+
 def find_status(failure: reasons.Failure) -> int:
     """Return the HTTP status of a refusal.
 
