Find silent connections to the store in time, and use no others like them

What callers saw: a configuration that the store had acknowledged was not in force two seconds later; a key that was taken away was still taken.

Cause: open connections may go silent without a reset while new ones work. A watch was given up 3.0 s + 1.0 s after it began, and the reading that followed took a kept connection, which was as silent and cost another second, as did the next. A host is held to its bounds again three seconds after the silence.

Ruled out: no kept connections at all, a connect for each of a host's two to three calls a second; TCP keep-alive alone, whose shortest time with one lost probe is three seconds.

--- a/buckthornhold/clients.py
+++ b/buckthornhold/clients.py
@@ -28,9 +28,26 @@
         raise ConnectionLost(repr(error)) from error
 
 
+class Connector(aiohttp.TCPConnector):
+    """Keeps idle connections, until one to the same address went silent.
+
+    What silences one connection without a reset, such as a firewall that
+    lost its state, silences the others as well, while new ones work.
+    """
+
+    def drop_idle(self, address: str) -> None:
+        """Close the idle connections to an address, ``IP:port``."""
+        ip, _, port = address.rpartition(":")
+        for key in list(self._conns):
+            if (key.host, str(key.port)) != (ip, port):
+                continue
+            for protocol, _ in self._conns.pop(key):
+                protocol.close()
+
+
 def make_session() -> aiohttp.ClientSession:
     """Return a session without repeats and without a connection limit."""
     return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0),
+        connector=Connector(limit=0),
         middlewares=(forbid_repeats,),
     )
--- a/buckthornhold/platform/stores.py
+++ b/buckthornhold/platform/stores.py
@@ -12,6 +12,9 @@
 
 #: More pages than any prefix has; a store that pages for ever is at fault.
 MOST_PAGES = 100
+#: How much longer than it was to wait a watch may take, in seconds: an answer
+#: takes milliseconds, and some hundred of them while the store is slow.
+WATCH_MARGIN_SECONDS = 0.5
 STATUS_REASONS = {
     404: reasons.Reason.STORE_CONFLICT,
     410: reasons.Reason.STORE_HISTORY_GONE,
@@ -101,7 +104,7 @@
                 "after": str(after),
                 "waitMs": str(int(timeout * 1000)),
             },
-            timeout=timeout + self._timeout,
+            timeout=timeout + min(WATCH_MARGIN_SECONDS, self._timeout),
         )
         if isinstance(body, reasons.Failure):
             return body
@@ -179,6 +182,8 @@
                 reasons.Reason.STORE_UNAVAILABLE, name, repr(error)
             )
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            if isinstance(error, TimeoutError):
+                self._session.connector.drop_idle(self._address)
             return self._fail(
                 reasons.Reason.STORE_UNAVAILABLE,
                 name,
--- a/features/relay_faults/silent_connections.feature
+++ b/features/relay_faults/silent_connections.feature
@@ -31,6 +31,13 @@
     And wire: 2.0 seconds later a configuration without the key is written
     Then wire: it is in force at each host 9.0 seconds after it fell silent
 
+  # Guards against hosts that take each other for lost, as their open
+  # connections went silent and are used on.
+  Scenario: Hosts hear each other again over new connections
+    Given wire: 3 relay hosts with links that can be harmed
+    When wire: open connections between hosts go silent
+    Then wire: each host hears the others 3.0 seconds after it fell silent
+
   # Guards against requests that wait on silent connections to upstreams.
   Scenario: Requests are served though open connections to upstreams are silent
     Given wire: 1 relay hosts with links that can be harmed
--- a/features/steps/relay_silence_steps.py
+++ b/features/steps/relay_silence_steps.py
@@ -1,14 +1,17 @@
 """Steps on relay hosts whose open connections go silent."""
 
 import asyncio
+import pathlib
+import re
 import time
 
 import behave
 
 from testbed import relay_fleets
 
-#: As deploy/settings.json has them, in seconds.
-DEPLOYED_TIMEOUTS = {"platform_timeout": 1.0, "rules_watch_timeout": 3.0}
+#: The deployment's own settings, with placeholders for what differs by host.
+DEPLOYED_SETTINGS = pathlib.Path("deploy/settings.json")
+TIMEOUT_NAMES = ("platform_timeout", "rules_watch_timeout")
 #: Time between two questions whether a change is in force, in seconds.
 ASK_SECONDS = 0.05
 #: What hosts are given to fill their pools and to meet, in seconds.
@@ -19,7 +22,11 @@
     """Relay hosts behind links, with the deployment's own timeouts."""
 
     def _make_timeouts(self):
-        return DEPLOYED_TIMEOUTS
+        text = DEPLOYED_SETTINGS.read_text()
+        return {
+            name: float(re.search(f'"{name}": ([0-9.]+)', text)[1])
+            for name in TIMEOUT_NAMES
+        }
 
 
 @behave.fixture
@@ -114,6 +121,17 @@
     assert statuses == [401] * len(fleet.hosts), statuses
 
 
+@behave.then(
+    "wire: each host hears the others {seconds:g} seconds after it fell silent"
+)
+def check_heard(context, seconds):
+    hosts = context.fleet.hosts
+    left = context.silenced_at + seconds - time.monotonic()
+    context.fleet.run(asyncio.sleep(max(0.0, left)))
+    heard = [it.summaries.count_heard() for it in hosts]
+    assert heard == [len(hosts) - 1] * len(hosts), heard
+
+
 @behave.when("wire: {path} is asked {count:d} times at once")
 def ask_at_once(context, path, count):
     fleet = context.fleet
