Reach another host over a new channel after a call without an answer

What callers saw: nothing at once; hosts took each other for lost, so limits, loads, leaving upstreams and configurations of hosts that the store turned away no longer spread.

A gRPC channel whose connection went silent stays open, and each call on it waits in vain. The product's own interface uses the same links.

Change: a channel knows whether its last call ended without an answer in time; the link's next call opens another, and the replaced one is closed once its open calls have ended or five seconds have passed.

Ruled out: gRPC's keep-alive, which would have to ping idle links of all hosts each second, as calls are shorter than its times.

--- a/buckthornhold/links.py
+++ b/buckthornhold/links.py
@@ -13,6 +13,8 @@
 #: holders and writers use stay open, and memory follows what is in use.
 IDLE_SECONDS = 20.0
 SWEEP_INTERVAL = 5.0
+#: How long calls on a channel that was replaced may still wait, in seconds.
+REPLACED_GRACE_SECONDS = 5.0
 #: A repeated call must be this project's decision, never the library's.
 CHANNEL_OPTIONS = (
     ("grpc.enable_retries", 0),
@@ -23,7 +25,11 @@
 
 
 class Link:
-    """The connection to one incarnation of another entry host."""
+    """The connection to one incarnation of another entry host.
+
+    A call without an answer in time may mean that the connection went silent
+    while a new one would work, so the next call is made on a new channel.
+    """
 
     def __init__(
         self,
@@ -31,10 +37,12 @@
         member: members.Member,
         address: str,
         counted: traffic.Traffic,
+        closing: tasks.TaskSet,
     ) -> None:
         self._member = member
         self._address = address
         self._traffic = counted
+        self._closing = closing
         self._channel: traffic.CountedChannel | None = None
         self._used_at = 0.0
 
@@ -70,6 +78,9 @@
         To be asked for at each use, which keeps it open for a while.
         """
         self._used_at = time.monotonic()
+        if self._channel is not None and self._channel.silent:
+            replaced, self._channel = self._channel, None
+            self._closing.start(replaced.close(REPLACED_GRACE_SECONDS))
         if self._channel is None:
             self._channel = open_channel(self._address, self._traffic)
         return self._channel
@@ -179,6 +190,7 @@
             member=member,
             address=self._settings.translate(member.address),
             counted=self._traffic,
+            closing=self._closing,
         )
 
     async def close(self) -> None:
--- a/buckthornhold/traffic.py
+++ b/buckthornhold/traffic.py
@@ -73,13 +73,20 @@
     """A gRPC channel whose unary calls are counted.
 
     A call that is open when the channel closes, or made afterwards, fails
-    as unavailable; gRPC would cancel whoever waits for it.
+    as unavailable; gRPC would cancel whoever waits for it. The channel is
+    ``silent`` while the last call that ended had no answer in time.
     """
 
     def __init__(self, *, channel: grpc.aio.Channel, traffic: Traffic) -> None:
         self._channel = channel
         self._traffic = traffic
         self._open_calls = 0
+        self._silent = False
+
+    @property
+    def silent(self) -> bool:
+        """Whether the last call that ended had no answer in time."""
+        return self._silent
 
     @property
     def open_calls(self) -> int:
@@ -111,7 +118,13 @@
         async def call(request, **options):
             self._open_calls += 1
             try:
-                return await make_call(request, **options)
+                answer = await make_call(request, **options)
+                self._silent = False
+                return answer
+            except grpc.aio.AioRpcError as error:
+                late = error.code() is grpc.StatusCode.DEADLINE_EXCEEDED
+                self._silent = late
+                raise
             except grpc.aio.UsageError as error:
                 raise _make_unavailable(str(error)) from error
             except asyncio.CancelledError:
