Refuse relayed requests that crash upstream after upstream

What callers saw: a request under which upstreams had ended was sent to the next one each time it came again, and each took the streams of others with it.

Cause: the product has two request paths. The first knows what was running on an upstream that crashed (suspects, coordination.quarantines, exchanges); the relayed one, which serves the users' platform, was given none of it.

Change: relay hosts join the exchange of facts, and relay_suspects feeds the same quarantines. A request is known by caller, method, path and body. An upstream crashed if its connection broke and its address refuses another one. Suspects are kept apart by places that all hosts work out alike; a verdict waits 0.1 s until all hosts have told what they had running there, spreads at once and is written to the store, which is asked again before a suspect is sent. The refusal is a 503 that says that the copy was not run.

A trial that judged before the others had told refused a bystander; hence the wait. Requests that have crashed nothing cost two look-ups.

--- a/buckthornhold/coordination/facts.py
+++ b/buckthornhold/coordination/facts.py
@@ -13,6 +13,8 @@
 import time
 
 DIGEST_BYTES = 8
+#: What ``load_fact`` raises for a text that holds no fact.
+UNREADABLE = (ValueError, KeyError, TypeError, RecursionError)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -44,7 +46,7 @@
 
 
 def load_fact(key: str, text: str) -> Fact:
-    """Read what ``Fact.dump`` wrote."""
+    """Read what ``Fact.dump`` wrote; raise one of ``UNREADABLE`` if not."""
     values = json.loads(text)
     return Fact(
         key=key,
--- a/buckthornhold/exchanges.py
+++ b/buckthornhold/exchanges.py
@@ -14,6 +14,7 @@
 
 import grpc
 
+from buckthornhold import logs
 from buckthornhold import reasons
 from buckthornhold import stores
 from buckthornhold import tasks
@@ -97,6 +98,14 @@
         if await self._write_fact(fact):
             self.publish(fact)
 
+    async def read_fact(self, key: str) -> None:
+        """Take in what the store has of one fact now, if it answers."""
+        entry = await self._host.store.get(key)
+        if isinstance(entry, reasons.Failure):
+            logs.log_failure(self._logger, entry)
+        elif entry is not None:
+            self._take_entry(entry)
+
     async def wait_pushed(self, timeout: float) -> None:
         """Wait until what was published has reached all that can be.
 
@@ -232,8 +241,9 @@
                 return False
             found = set()
             for entry in change.entries:
-                fact = facts.load_fact(entry.key, entry.value)
-                self._known.offer(fact)
+                fact = self._take_entry(entry)
+                if fact is None:
+                    continue
                 if self._known.find(fact.key) == fact:
                     found.add(fact.key)
                 elif fact.expires and fact.expires <= time.time():
@@ -247,6 +257,19 @@
                     self._unwritten[fact.key] = fact
         return True
 
+    def _take_entry(self, entry: stores.Entry) -> facts.Fact | None:
+        """Take in a fact as the store has it; None if it can't be read."""
+        try:
+            fact = facts.load_fact(entry.key, entry.value)
+        except facts.UNREADABLE as error:
+            self._logger.bind(step="read facts", peer=entry.key).warning(
+                f"the entry of version {entry.version} holds no fact: "
+                f"{error!r}"
+            )
+            return None
+        self._known.offer(fact)
+        return fact
+
     async def _write_facts(self) -> None:
         for fact in list(self._unwritten.values()):
             if not await self._write_fact(fact):
@@ -359,27 +382,6 @@
             self._host.logger.bind(step="facts").exception("step failed")
 
 
-class EvidenceServicer(evidence_pb2_grpc.EvidenceServicer):
-    """Answers peers on facts and tallies."""
-
-    def __init__(self, *, host) -> None:
-        self._host = host
-
-    async def PushFacts(self, request, context):  # noqa: N802
-        """Take facts."""
-        return await self._host.exchanges.take_pushed(
-            request, time_left=context.time_remaining()
-        )
-
-    async def ExchangeFacts(self, request, context):  # noqa: N802
-        """Return all facts unless the peer has them."""
-        return self._host.exchanges.answer(request.digest)
-
-    async def CollectTallies(self, request, context):  # noqa: N802
-        """Return tallies of this host or of its zone."""
-        return await self._host.judge.collector.answer(request)
-
-
 def _load_fact(message: evidence_pb2.Fact) -> facts.Fact:
     return facts.Fact(
         key=message.key,
--- a/buckthornhold/listeners.py
+++ b/buckthornhold/listeners.py
@@ -8,7 +8,7 @@
 from buckthornhold import callers
 from buckthornhold import carriers
 from buckthornhold import connections
-from buckthornhold import exchanges
+from buckthornhold import evidence_servicers
 from buckthornhold import operators
 from buckthornhold import probes
 from buckthornhold import reports
@@ -92,7 +92,7 @@
         server,
     )
     evidence_pb2_grpc.add_EvidenceServicer_to_server(
-        exchanges.EvidenceServicer(host=host), server
+        evidence_servicers.EvidenceServicer(host=host), server
     )
     revisions_pb2_grpc.add_BroadcastsServicer_to_server(
         carriers.BroadcastServicer(broadcast=host.broadcasts),
--- a/buckthornhold/platform/workers.py
+++ b/buckthornhold/platform/workers.py
@@ -1,6 +1,9 @@
 """Workers: requests and answers on their wire."""
 
+import asyncio
+
 import aiohttp
+import loguru
 import multidict
 import yarl
 
@@ -192,6 +195,22 @@
             )
         return _check_head(response, request, upstream)
 
+    async def is_listening(self, upstream) -> bool:
+        """Tell whether a process takes connections at a worker's address."""
+        ip, _, port = upstream.record.address.rpartition(":")
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT):
+                _, writer = await asyncio.open_connection(ip, int(port))
+        except ConnectionError:
+            return False
+        except (TimeoutError, OSError) as error:
+            loguru.logger.bind(step="examine", peer=upstream.name).debug(
+                f"no word on whether it runs: {error!r}"
+            )
+            return True
+        writer.transport.abort()
+        return True
+
     def _make_headers(self, request, upstream, seconds_left, resume_after):
         """Return the caller's headers with those that this system sets."""
         fields = multidict.CIMultiDict(request.message.headers)
--- /dev/null
+++ b/buckthornhold/relay_followers.py
@@ -0,0 +1,69 @@
+"""Relay followers: the parts of the store that a relay host follows."""
+
+import asyncio
+
+import mode
+
+from buckthornhold import followers
+from buckthornhold import logs
+from buckthornhold import reasons
+from buckthornhold import relay_platforms
+from buckthornhold import stores
+
+
+class RelayFollowers:
+    """Has a host's parts learn of the operator's documents and upstreams."""
+
+    def __init__(self, *, host, platform: relay_platforms.Platform) -> None:
+        self._host = host
+        self._platform = platform
+
+    def make_followers(self) -> list[mode.Service]:
+        """Return the services that follow the store."""
+        directory = self._host.directory
+        return [
+            self._make_follower(
+                self._platform.configuration_prefix,
+                take_all=self._take_documents,
+                take_news=self._take_documents,
+            ),
+            self._make_follower(
+                self._platform.directory_prefix,
+                take_all=directory.take_all,
+                take_news=directory.take_news,
+                notify=directory.note_store,
+                read_batch_seconds=lambda: directory.batch_seconds,
+            ),
+        ]
+
+    async def refresh(self) -> None:
+        """Read again what may have changed while the process stood still."""
+        platform = self._platform
+        await asyncio.gather(
+            self._read(platform.configuration_prefix, self._take_documents),
+            self._read(
+                platform.directory_prefix, self._host.directory.take_all
+            ),
+        )
+
+    def _take_documents(self, change: stores.Change) -> None:
+        """Take in what the operator has written."""
+        self._host.configurations.take_change(change)
+        self._host.moves.take_change(change)
+
+    def _make_follower(self, prefix: str, **options) -> followers.Follower:
+        return followers.Follower(
+            store=self._host.store,
+            prefix=prefix,
+            watch_seconds=self._host.settings.rules_watch_timeout,
+            logger=self._host.logger,
+            counters=self._host.counters,
+            **options,
+        )
+
+    async def _read(self, prefix: str, take) -> None:
+        change = await self._host.store.list_entries(prefix)
+        if isinstance(change, reasons.Failure):
+            logs.log_failure(self._host.logger, change)
+            return
+        take(change)
--- a/buckthornhold/relay_hosts.py
+++ b/buckthornhold/relay_hosts.py
@@ -19,9 +19,9 @@
 from buckthornhold import counters
 from buckthornhold import directories
 from buckthornhold import duties
+from buckthornhold import exchanges
 from buckthornhold import fleet_orders
 from buckthornhold import fleet_sizes
-from buckthornhold import followers
 from buckthornhold import links
 from buckthornhold import logs
 from buckthornhold import metrics
@@ -30,6 +30,7 @@
 from buckthornhold import reasons
 from buckthornhold import recoveries
 from buckthornhold import relay_budgets
+from buckthornhold import relay_followers
 from buckthornhold import relay_listeners
 from buckthornhold import relay_messages
 from buckthornhold import relay_moves
@@ -37,10 +38,10 @@
 from buckthornhold import relay_requests
 from buckthornhold import relay_routers
 from buckthornhold import relay_settings
+from buckthornhold import relay_suspects
 from buckthornhold import relay_upstreams
 from buckthornhold import rosters
 from buckthornhold import routes
-from buckthornhold import stores
 from buckthornhold import summaries
 from buckthornhold import tasks
 from buckthornhold import traffic
@@ -108,6 +109,8 @@
             notify=lambda seconds: self.counters.count_event("hosts.paused"),
         )
         self.summaries = summaries.Summaries(host=self)
+        self.exchanges = exchanges.Exchanges(host=self)
+        self.suspects = relay_suspects.RelaySuspects(host=self)
         self.configurations = configurations.Configurations(
             key=platform.configuration_key,
             decode=platform.decode_configuration,
@@ -167,6 +170,7 @@
             self.configurations.version > 0
             and self.directory.loaded
             and self.recovery.asked
+            and self.suspects.asked
         )
 
     @property
@@ -208,7 +212,15 @@
         self.configurations.add_to(self.broadcasts)
         self.directory.add_to(self.broadcasts)
         self.moves.add_to(self.broadcasts)
-        self.pauses.add_refresher(self._refresh)
+        self.members.add_digest(
+            "facts",
+            read=self.exchanges.read_digest,
+            differs=self.exchanges.compare_with,
+        )
+        followed = relay_followers.RelayFollowers(
+            host=self, platform=self._platform
+        )
+        self.pauses.add_refresher(followed.refresh)
         self.duty = duties.Duty(host=self)
         self.recovery = recoveries.Recovery(host=self)
         self._services = [
@@ -216,9 +228,10 @@
             self.pauses,
             self.prober,
             rosters.Roster(host=self),
-            self._follow_configuration(),
-            self._follow_directory(),
+            *followed.make_followers(),
             self.summaries,
+            self.exchanges,
+            self.suspects,
             self.duty,
             self.recovery,
             self.moves,
@@ -341,58 +354,12 @@
         )
         self.links.take_member(member)
 
-    def _take_documents(self, change: stores.Change) -> None:
-        """Take in what the operator has written."""
-        self.configurations.take_change(change)
-        self.moves.take_change(change)
-
     def _take_configuration(self, found: routes.Configuration) -> None:
         self.counters.count_event("revisions.adopted")
 
     def _take_directory(self) -> None:
         self.upstreams.refresh()
 
-    def _follow_configuration(self) -> followers.Follower:
-        return self._make_follower(
-            self._platform.configuration_prefix,
-            take_all=self._take_documents,
-            take_news=self._take_documents,
-        )
-
-    def _follow_directory(self) -> followers.Follower:
-        return self._make_follower(
-            self._platform.directory_prefix,
-            take_all=self.directory.take_all,
-            take_news=self.directory.take_news,
-            notify=self.directory.note_store,
-            read_batch_seconds=lambda: self.directory.batch_seconds,
-        )
-
-    def _make_follower(self, prefix: str, **options) -> followers.Follower:
-        return followers.Follower(
-            store=self.store,
-            prefix=prefix,
-            watch_seconds=self._settings.rules_watch_timeout,
-            logger=self.logger,
-            counters=self.counters,
-            **options,
-        )
-
-    async def _refresh(self) -> None:
-        """Read again what may have changed while the process stood still."""
-        platform = self._platform
-        await asyncio.gather(
-            self._read(platform.configuration_prefix, self._take_documents),
-            self._read(platform.directory_prefix, self.directory.take_all),
-        )
-
-    async def _read(self, prefix: str, take) -> None:
-        change = await self.store.list_entries(prefix)
-        if isinstance(change, reasons.Failure):
-            logs.log_failure(self.logger, change)
-            return
-        take(change)
-
     def _add_session(
         self, session: aiohttp.ClientSession
     ) -> aiohttp.ClientSession:
--- a/buckthornhold/relay_listeners.py
+++ b/buckthornhold/relay_listeners.py
@@ -5,9 +5,11 @@
 
 from buckthornhold import carriers
 from buckthornhold import connections
+from buckthornhold import evidence_servicers
 from buckthornhold import probes
 from buckthornhold import settings
 from buckthornhold import summaries
+from buckthornhold.peers import evidence_pb2_grpc
 from buckthornhold.peers import members_pb2_grpc
 from buckthornhold.peers import revisions_pb2_grpc
 from buckthornhold.peers import summaries_pb2_grpc
@@ -47,6 +49,9 @@
         summaries_pb2_grpc.add_SummariesServicer_to_server(
             summaries.SummaryServicer(summaries=host.summaries), server
         )
+        evidence_pb2_grpc.add_EvidenceServicer_to_server(
+            evidence_servicers.EvidenceServicer(host=host), server
+        )
         server.add_insecure_port(host.settings.listen.peers)
         await server.start()
         self._peer_server = server
--- a/buckthornhold/relay_messages.py
+++ b/buckthornhold/relay_messages.py
@@ -88,6 +88,16 @@
         says itself that it did not run the request.
         """
 
+    @abc.abstractmethod
+    async def is_listening(
+        self, upstream: relay_upstreams.RelayUpstream
+    ) -> bool:
+        """Tell whether a process takes connections at its address.
+
+        False only if a connection is refused; one that gets no answer may be
+        cut off.
+        """
+
 
 class Responder(abc.ABC):
     """Gives a caller its answer."""
--- a/buckthornhold/relay_moves.py
+++ b/buckthornhold/relay_moves.py
@@ -183,6 +183,18 @@
         if not failed:
             tally.count_first_token(seconds)
 
+    def note_pace(
+        self,
+        series: evidence.Series | None,
+        upstream: relay_upstreams.RelayUpstream,
+        gap: float,
+    ) -> None:
+        """Count the mean time between the events of a stream, in seconds."""
+        if series is None or upstream.record.warm_up > 0:
+            return
+        tally = self._tallies.setdefault(series, evidence.Tally())
+        tally.count_gap(gap)
+
     async def run_once(self) -> None:
         """Look at the evidence; as the holder, take the moves further."""
         if not self._asked:
--- /dev/null
+++ b/buckthornhold/relay_searches.py
@@ -0,0 +1,97 @@
+"""Relay searches: the upstream to which a relayed request is sent next."""
+
+import asyncio
+import time
+
+from buckthornhold import reasons
+from buckthornhold import relay_messages
+from buckthornhold import relay_upstreams
+from buckthornhold.coordination import evidence
+
+#: Wait before upstreams that refused it are asked once more, in seconds.
+AGAIN_SECONDS = 0.05
+#: Wait before another try where no upstream can be sent to, in seconds, and
+#: for how long that is tried.
+NO_UPSTREAM_PAUSE = 0.1
+NO_UPSTREAM_PATIENCE = 0.3
+RETRY_AFTER_SECONDS = 0.5
+
+
+class Search:
+    """Finds upstreams for one request, each once before any twice.
+
+    ``series`` is where the outcome at the upstream found last counts, and
+    ``expected`` what the router expected until its first event, in seconds.
+    """
+
+    def __init__(self, *, host, request: relay_messages.RelayRequest) -> None:
+        self._host = host
+        self._request = request
+        self._tried: set[tuple[str, int]] = set()
+        self.series: evidence.Series | None = None
+        self.expected = 0.0
+
+    def note_sent(self, upstream: relay_upstreams.RelayUpstream) -> None:
+        """Pass an upstream over until all others were tried."""
+        self._tried.add(upstream.key)
+
+    def has_other(self) -> bool:
+        """Tell whether an upstream is left that was not tried."""
+        found = self._host.upstreams.list_service(self._request.service)
+        return any(it.key not in self._tried for it in found)
+
+    async def find(
+        self, *, again: bool
+    ) -> relay_upstreams.RelayUpstream | reasons.Failure:
+        """Choose an upstream; wait a little where there is none.
+
+        ``again`` tells that the request was sent before.
+        """
+        ends_at = time.monotonic() + NO_UPSTREAM_PATIENCE
+        wait = self._host.upstreams.find_return(self._request.service)
+        if wait and not self._request.route.streamed:
+            # It would wait there in vain. An engine may be only slow.
+            return _fail(
+                "requests were given up at every upstream without a word",
+                retry_after=wait,
+            )
+        while True:
+            choice = self._host.moves.choose(
+                self._request,
+                self._host.upstreams.list_service(self._request.service),
+                again=again,
+            )
+            found = choice.found
+            fresh = [it for it in found if it.key not in self._tried]
+            if fresh:
+                self.series = choice.series
+                return self._choose(fresh)
+            if found and self._tried:
+                self._tried.clear()
+                await asyncio.sleep(AGAIN_SECONDS)
+                continue
+            if time.monotonic() >= ends_at:
+                return _fail(f"no upstream for {self._request.service}")
+            await asyncio.sleep(NO_UPSTREAM_PAUSE)
+
+    def _choose(
+        self, fresh: list[relay_upstreams.RelayUpstream]
+    ) -> relay_upstreams.RelayUpstream:
+        request = self._request
+        router = self._host.find_router(request.service)
+        chosen = router.choose(
+            self._host.suspects.keep_apart(request, fresh), request.work
+        )
+        self.expected = router.estimate_costs([chosen], request.work)[0]
+        return chosen
+
+
+def _fail(
+    detail: str, *, retry_after: float = RETRY_AFTER_SECONDS
+) -> reasons.Failure:
+    return reasons.Failure(
+        reason=reasons.Reason.NO_UPSTREAM,
+        step="relay",
+        detail=detail,
+        retry_after=retry_after,
+    )
--- /dev/null
+++ b/buckthornhold/relay_suspects.py
@@ -0,0 +1,279 @@
+"""Relay suspects: keeps requests that crash upstreams off the next ones.
+
+What was running on an upstream when it crashed is suspected. A request that
+was under suspicion already and crashes another upstream is refused from then
+on, by all hosts; ``coordination.quarantines`` judges by what they all saw.
+"""
+
+import asyncio
+import dataclasses
+import math
+import time
+
+from buckthornhold import reasons
+from buckthornhold import relay_messages
+from buckthornhold import relay_upstreams
+from buckthornhold import tasks
+from buckthornhold.coordination import facts
+from buckthornhold.coordination import quarantines
+from buckthornhold.coordination import turns
+
+#: Time between two clean-ups of crashes that are long past, in seconds.
+INTERVAL = 5.0
+#: Broken connections of one crash are noticed within this time, in seconds.
+GATHER_SECONDS = 0.03
+#: How long a caller's answer waits until other hosts know of a crash,
+#: seconds; its next copy may come to one of them at once.
+SPREAD_SECONDS = 0.1
+#: What all hosts had running on a crashed upstream is known after so long, in
+#: seconds; a suspect is judged no sooner.
+SETTLE_SECONDS = 0.1
+#: How long a host that starts waits to learn of earlier crashes, in seconds.
+START_PATIENCE_SECONDS = 1.0
+#: When callers are told to ask again for what crashes upstreams, in seconds.
+RETRY_AFTER_SECONDS = 30.0
+
+
+@dataclasses.dataclass(kw_only=True, eq=False)
+class Sending:
+    """One sending of a request to an upstream.
+
+    ``start`` and ``position`` count the events of the caller's stream, when
+    it began and now. ``known`` are the crashes for which it was suspected.
+    """
+
+    request: relay_messages.RelayRequest
+    upstream: relay_upstreams.RelayUpstream
+    start: int
+    position: int
+    known: tuple[str, ...]
+
+    def make_suspect(self) -> quarantines.Suspect:
+        """Return what hosts are told of it when its upstream crashed."""
+        return quarantines.Suspect(
+            fingerprint=self.request.content,
+            version=self.upstream.record.version,
+            start=self.start,
+            position=self.position,
+            known=self.known,
+        )
+
+
+class RelaySuspects(tasks.PeriodicService):
+    """Finds crashes, keeps suspects apart and refuses what crashes again."""
+
+    def __init__(self, *, host) -> None:
+        super().__init__(
+            interval=INTERVAL, logger=host.logger, counters=host.counters
+        )
+        self._host = host
+        self._judge = quarantines.Quarantines(
+            known=host.exchanges.known,
+            publish=host.exchanges.publish,
+            crash_retention=host.settings.crash_retention,
+            poison_retention=host.settings.poison_retention,
+            read_time=host.summaries.read_time_of_day,
+        )
+        self._started_at = time.monotonic()
+        self._running: set[Sending] = set()
+        self._broken: dict[tuple[str, int], list[Sending]] = {}
+        self._examinations: dict[tuple[str, int], asyncio.Task] = {}
+        #: When this host learned of each crash, on the monotonic clock.
+        self._learned_at: dict[str, float] = {}
+        host.exchanges.receive_with(self._take_fact)
+
+    @property
+    def asked(self) -> bool:
+        """Whether earlier crashes are known, or can't be learned of now."""
+        waited = time.monotonic() - self._started_at
+        return self._host.exchanges.synced or waited >= START_PATIENCE_SECONDS
+
+    async def run_once(self) -> None:
+        """Forget old crashes."""
+        self._judge.prune()
+        oldest = time.monotonic() - self._host.settings.crash_retention
+        for upstream, moment in list(self._learned_at.items()):
+            if moment < oldest:
+                del self._learned_at[upstream]
+
+    async def admit(
+        self, request: relay_messages.RelayRequest
+    ) -> reasons.Failure | None:
+        """Return why a request may not be sent, if it may not."""
+        content = request.content
+        if self._judge.find_poison(content):
+            return self._refuse(content)
+        if not self._judge.list_strikes(content):
+            return None
+        await self._wait_settled(content)
+        if self._judge.convict(content, ran_before=True):
+            return self._refuse(content)
+        # Hosts that can't be reached may know more of a suspect.
+        await self._host.exchanges.read_fact(
+            quarantines.POISON_PREFIX + content
+        )
+        if self._judge.find_poison(content):
+            return self._refuse(content)
+        return None
+
+    def keep_apart(
+        self,
+        request: relay_messages.RelayRequest,
+        found: list[relay_upstreams.RelayUpstream],
+    ) -> list[relay_upstreams.RelayUpstream]:
+        """Return the upstreams at which a suspect does not meet another one.
+
+        Two suspects on one upstream that crashes stay under suspicion both.
+        All hosts work out the same places for the suspects that they know.
+        """
+        if not found or not self._judge.list_strikes(request.content):
+            return found
+        turn = turns.find_turn(
+            self._judge, request.content, [it.name for it in found]
+        )
+        taken = {it.upstream.key for it in self._running if it.known}
+        free = [it for it in found if it.key not in taken]
+        own = [it for it in free if it.name == turn.upstream]
+        return own or free or found
+
+    def begin(
+        self,
+        request: relay_messages.RelayRequest,
+        upstream: relay_upstreams.RelayUpstream,
+        *,
+        start: int,
+    ) -> Sending:
+        """Note that a request is sent; ``start`` events were passed on."""
+        sending = Sending(
+            request=request,
+            upstream=upstream,
+            start=start,
+            position=start,
+            known=tuple(self._judge.list_strikes(request.content)),
+        )
+        self._running.add(sending)
+        return sending
+
+    def note_event(self, sending: Sending) -> None:
+        """Count an event; a suspect that gets further is cleared by it."""
+        sending.position += 1
+        if sending.known:
+            self._judge.clear(sending.request.content, sending.position)
+
+    def drop(self, sending: Sending) -> None:
+        """Note that a sending was given up."""
+        self._running.discard(sending)
+
+    async def end(
+        self, sending: Sending, failure: reasons.Failure | None
+    ) -> None:
+        """Note how a sending ended; find out whether its upstream crashed."""
+        self._running.discard(sending)
+        if failure is None:
+            self._judge.clear(sending.request.content, math.inf)
+            return
+        if failure.reason is not reasons.Reason.UPSTREAM_BROKEN:
+            return
+        self._broken.setdefault(sending.upstream.key, []).append(sending)
+        await asyncio.shield(self._start_examination(sending.upstream))
+
+    def _start_examination(
+        self, upstream: relay_upstreams.RelayUpstream
+    ) -> asyncio.Task:
+        task = self._examinations.get(upstream.key)
+        if task is None:
+            task = self._host.background.start(
+                self._examine(upstream), step="examine upstream"
+            )
+            self._examinations[upstream.key] = task
+        return task
+
+    async def _examine(self, upstream: relay_upstreams.RelayUpstream) -> None:
+        key = upstream.key
+        announced = upstream.leaving
+        try:
+            if await self._host.upstream_client.is_listening(upstream):
+                self._broken.pop(key, None)
+                return
+            await asyncio.sleep(GATHER_SECONDS)
+            suspects = self._list_suspects(key)
+            self._broken.pop(key, None)
+            if announced or not suspects:
+                return
+            self._record(upstream, suspects)
+            await self._host.exchanges.wait_pushed(SPREAD_SECONDS)
+        finally:
+            del self._examinations[key]
+
+    def _list_suspects(self, key: tuple[str, int]) -> list[Sending]:
+        running = [it for it in self._running if it.upstream.key == key]
+        return [*self._broken.get(key, ()), *running]
+
+    def _record(
+        self,
+        upstream: relay_upstreams.RelayUpstream,
+        suspects: list[Sending],
+    ) -> None:
+        """Tell all hosts what ran on an upstream that crashed."""
+        self._host.counters.count_event("upstreams.crashed")
+        ids = [it.request.contract.request_id for it in suspects]
+        self._logger.bind(step="quarantine", peer=upstream.name).warning(
+            f"the upstream crashed under {len(suspects)} requests, "
+            f"{sum(bool(it.known) for it in suspects)} of them suspects: "
+            f"{', '.join(ids)}"
+        )
+        self._judge.note_crash(
+            quarantines.Crash(
+                upstream=relay_upstreams.make_process_name(upstream),
+                zone=upstream.record.zone,
+                host=self._host.settings.host,
+                time=self._host.summaries.read_time_of_day(),
+                suspects=tuple(it.make_suspect() for it in suspects),
+            )
+        )
+        for sending in suspects:
+            if sending.known:
+                self._host.background.start(
+                    self._convict(sending.request.content), step="convict"
+                )
+
+    async def _convict(self, content: str) -> None:
+        await self._wait_settled(content)
+        self._judge.convict(content, ran_before=True)
+
+    async def _wait_settled(self, content: str) -> None:
+        """Wait until all hosts had time to tell of a suspect's crashes."""
+        learned_at = [
+            self._learned_at.get(upstream, 0.0)
+            for upstream in self._judge.list_strikes(content)
+        ]
+        left = max(learned_at, default=0.0) + SETTLE_SECONDS - time.monotonic()
+        if left > 0:
+            await asyncio.sleep(left)
+
+    def _take_fact(self, fact: facts.Fact) -> None:
+        """Take in a crash; tell the others what this host had there."""
+        if fact.key.startswith(quarantines.POISON_PREFIX):
+            self._logger.bind(step="quarantine", peer=fact.key).warning(
+                f"requests with this content are refused: {fact.value}"
+            )
+        if not fact.key.startswith(quarantines.CRASH_PREFIX):
+            return
+        self._judge.take_fact(fact)
+        crash = quarantines.load_crash(fact)
+        self._learned_at.setdefault(crash.upstream, time.monotonic())
+        if crash.host == self._host.settings.host:
+            return
+        for sending in self._running:
+            name = relay_upstreams.make_process_name(sending.upstream)
+            if name == crash.upstream:
+                self._start_examination(sending.upstream)
+                return
+
+    def _refuse(self, content: str) -> reasons.Failure:
+        return reasons.Failure(
+            reason=reasons.Reason.POISON_REQUEST,
+            step="quarantine",
+            detail=self._judge.find_poison(content),
+            retry_after=RETRY_AFTER_SECONDS,
+        )
--- a/buckthornhold/relays.py
+++ b/buckthornhold/relays.py
@@ -7,10 +7,14 @@
 """
 
 import asyncio
+import functools
 import time
 
+from buckthornhold import paces
 from buckthornhold import reasons
 from buckthornhold import relay_messages
+from buckthornhold import relay_searches
+from buckthornhold import relay_suspects
 from buckthornhold import relay_upstreams
 from buckthornhold.coordination import evidence
 
@@ -26,12 +30,6 @@
 LEAST_LEFT_SECONDS = 0.05
 #: A request that upstreams refuse is sent so often, to spare the others.
 MOST_SENDINGS = 4
-#: Wait before upstreams that refused it are asked once more, in seconds.
-AGAIN_SECONDS = 0.05
-#: Wait before another try where no upstream can be sent to, in seconds, and
-#: for how long that is tried.
-NO_UPSTREAM_PAUSE = 0.1
-NO_UPSTREAM_PATIENCE = 0.3
 RETRY_AFTER_SECONDS = 0.5
 #: How long an upstream that took no connection is passed over, seconds.
 UNREACHABLE_SECONDS = 2.0
@@ -59,22 +57,28 @@
         self._responder = responder
         self._ran = reasons.Ran.NO
         self._ran_on: set[tuple[str, int]] = set()
-        self._tried: set[tuple[str, int]] = set()
+        self._search = relay_searches.Search(host=host, request=request)
+        self._sending: relay_suspects.Sending | None = None
+        self._passed = 0
         self._last_event = request.resume_after
         # The deadline again, on a clock that runs while the process stands
         # still.
         left = request.contract.deadline - time.monotonic()
         self._ends_at = host.read_clock() + left
         self._counted = False
-        self._series: evidence.Series | None = None
+        #: Where the pace of the stream that is passed on counts.
+        self._pace_series: evidence.Series | None = None
         self._sent_at = 0.0
         self.started = False
         self.sendings = 0
         self.status = 0
         self.upstream: relay_upstreams.RelayUpstream | None = None
         self.first_event_at: float | None = None
-        #: What the router expected until the first event, in seconds.
-        self.expected = 0.0
+
+    @property
+    def expected(self) -> float:
+        """What the router expected until the first event, in seconds."""
+        return self._search.expected
 
     @property
     def ran(self) -> reasons.Ran:
@@ -101,9 +105,12 @@
                     reasons.Reason.DEADLINE_PASSED,
                     "the time was up while the host stood still",
                 )
-            upstream = await self._find_upstream()
+            refusal = await self._host.suspects.admit(self._request)
+            if refusal is not None:
+                return refusal.replace(ran=self._ran)
+            upstream = await self._search.find(again=self.sendings > 0)
             if isinstance(upstream, reasons.Failure):
-                return upstream
+                return upstream.replace(ran=self._ran)
             failure = await self._send(upstream)
             if failure is None:
                 return None
@@ -111,52 +118,17 @@
             if refusal is not None:
                 return refusal
 
-    async def _find_upstream(
-        self,
-    ) -> relay_upstreams.RelayUpstream | reasons.Failure:
-        """Choose an upstream; wait a little where there is none."""
-        ends_at = time.monotonic() + NO_UPSTREAM_PATIENCE
-        wait = self._host.upstreams.find_return(self._request.service)
-        if wait and not self._route.streamed:
-            # It would wait there in vain. An engine may be only slow.
-            return self._fail(
-                reasons.Reason.NO_UPSTREAM,
-                "requests were given up at every upstream without a word",
-            ).replace(retry_after=wait)
-        while True:
-            choice = self._host.moves.choose(
-                self._request,
-                self._host.upstreams.list_service(self._request.service),
-                again=self.sendings > 0,
-            )
-            found = choice.found
-            fresh = [it for it in found if it.key not in self._tried]
-            if fresh:
-                self._series = choice.series
-                router = self._host.find_router(self._request.service)
-                chosen = router.choose(fresh, self._request.work)
-                self.expected = router.estimate_costs(
-                    [chosen], self._request.work
-                )[0]
-                return chosen
-            if found and self._tried:
-                self._tried.clear()
-                await asyncio.sleep(AGAIN_SECONDS)
-                continue
-            if time.monotonic() >= ends_at:
-                return self._fail(
-                    reasons.Reason.NO_UPSTREAM,
-                    f"no upstream for {self._request.service}",
-                )
-            await asyncio.sleep(NO_UPSTREAM_PAUSE)
-
     async def _send(
         self, upstream: relay_upstreams.RelayUpstream
     ) -> reasons.Failure | None:
         """Send the request once; return why that gave no answer."""
         self.sendings += 1
         self.upstream = upstream
-        self._tried.add(upstream.key)
+        self._search.note_sent(upstream)
+        sending = self._host.suspects.begin(
+            self._request, upstream, start=self._passed
+        )
+        self._sending = sending
         tokens = self._request.work.prompt_tokens
         upstream.note_sent()
         upstream.waiting_tokens += tokens
@@ -172,12 +144,14 @@
         failure: reasons.Failure | None = None
         try:
             failure = await self._ask(upstream, note_first)
-            return failure
         finally:
+            self._host.suspects.drop(sending)
             note_first()
             upstream.in_flight -= 1
             if failure is not None:
                 self._note_failure(upstream, failure)
+        await self._host.suspects.end(sending, failure)
+        return failure
 
     def _note_failure(
         self, upstream: relay_upstreams.RelayUpstream, failure
@@ -218,6 +192,7 @@
                 return relay_messages.describe_slow(upstream, limit)
             if isinstance(first, reasons.Failure):
                 return first
+            self._pace_series = self._search.series
             self._note_answer(upstream, failed=answer.status >= 500)
             upstream.note_heard()
             note_first()
@@ -239,9 +214,9 @@
         """Count how the version did, once a sending."""
         seconds = time.monotonic() - self._sent_at
         self._host.moves.note_answer(
-            self._series, upstream, failed=failed, seconds=seconds
+            self._search.series, upstream, failed=failed, seconds=seconds
         )
-        self._series = None
+        self._search.series = None
 
     async def _open(self, upstream):
         return await self._host.upstream_client.open(
@@ -259,16 +234,12 @@
 
         Only what may run again elsewhere is given up before its deadline.
         """
-        if not self._may_run_again() or not self._has_other():
+        if not self._may_run_again() or not self._search.has_other():
             return None
         if self._route.streamed:
             return SLOW_STREAM_FACTOR * self._route.target
         return max(SLOW_SECONDS, SLOW_FACTOR * self._route.target)
 
-    def _has_other(self) -> bool:
-        found = self._host.upstreams.list_service(self._request.service)
-        return any(it.key not in self._tried for it in found)
-
     def _may_run_again(self) -> bool:
         """Tell whether another upstream may run the request as well."""
         if not self._route.repeatable:
@@ -314,13 +285,24 @@
             self.status = answer.status
             self.first_event_at = time.monotonic()
             await self._responder.start(answer)
-        while event is not None:
-            self._last_event = event.event_id or self._last_event
-            await self._responder.send(event.data)
-            event = await self._read_next(upstream, answer)
-            if isinstance(event, reasons.Failure):
-                return event
-            upstream.note_heard()
+        pace = paces.Pace(
+            notify=functools.partial(
+                self._host.moves.note_pace, self._pace_series, upstream
+            )
+        )
+        try:
+            while event is not None:
+                self._last_event = event.event_id or self._last_event
+                await self._responder.send(event.data)
+                pace.count_event()
+                self._passed += 1
+                self._host.suspects.note_event(self._sending)
+                event = await self._read_next(upstream, answer)
+                if isinstance(event, reasons.Failure):
+                    return event
+                upstream.note_heard()
+        finally:
+            pace.end()
         upstream.note_outcome(failed=False)
         self._host.budgets.note_success(self._request.service)
         self._ran = reasons.Ran.YES
--- a/features/relays/relays.feature
+++ b/features/relays/relays.feature
@@ -52,6 +52,20 @@
       | resumable | 2        | hang, events          | whole  | 2        |
       | resumable | 1        | cut_events, events    | broken | 1        |
 
+  # Guards against a version that makes tokens slowly and is judged by the time
+  # to the first of them alone.
+  Scenario Outline: How fast a stream's events come counts for its version
+    Given relays: a stream route with 1 attempts and 3 upstreams
+    When relays: upstreams answer <script>
+    Then relays: the caller gets <result> after 1 sendings
+    And relays: its pace is counted once, with <seconds> s an event
+
+    Examples:
+      | script      | result | seconds |
+      | events      | whole  | 0       |
+      | slow_events | whole  | 0.2     |
+      | cut_events  | broken | 0       |
+
   Scenario: Repeats end with the budget
     Given relays: a safe route with 2 attempts and 3 upstreams
     And relays: no repeat is left of the budget
--- a/features/steps/capacity_fact_steps.py
+++ b/features/steps/capacity_fact_steps.py
@@ -8,6 +8,7 @@
 import loguru
 
 from buckthornhold import counters
+from buckthornhold import evidence_servicers
 from buckthornhold import exchanges
 from buckthornhold import settings
 from buckthornhold.coordination import facts
@@ -71,7 +72,7 @@
         self.members = members.Members(own=member)
         self.links = self
         self.exchanges = exchanges.Exchanges(host=self)
-        self.servicer = exchanges.EvidenceServicer(host=self)
+        self.servicer = evidence_servicers.EvidenceServicer(host=self)
 
     def list_all(self):
         return [
--- a/features/steps/relay_path_steps.py
+++ b/features/steps/relay_path_steps.py
@@ -20,11 +20,15 @@
 from buckthornhold import relay_upstreams
 from buckthornhold import routes
 from buckthornhold import tasks
+from buckthornhold.coordination import evidence
 
 EVENTS = 6
 EVENTS_BEFORE_FAULT = 3
+SLOW_GAP_SECONDS = 0.2
+PACE_SLACK = 0.1
 TARGET_SECONDS = 0.1
 TIMEOUT_SECONDS = 3.0
+SERIES = evidence.Series(move="m", step=1, workspace="route", new=True)
 KINDS = {
     "unsafe": {},
     "safe": {"idempotent": True},
@@ -64,6 +68,8 @@
             await asyncio.Event().wait()
         if self._number == EVENTS:
             return None
+        if self._word == "slow_events":
+            await asyncio.sleep(SLOW_GAP_SECONDS)
         self._number += 1
         data = f"id: {self._number}\n\n".encode()
         return relay_messages.Event(event_id=str(self._number), data=data)
@@ -97,6 +103,9 @@
         self.answers.append(answer)
         return answer
 
+    async def is_listening(self, upstream):
+        return True
+
 
 class Caller(relay_messages.Responder):
     """Keeps what the caller gets."""
@@ -123,6 +132,14 @@
     return reasons.Failure(reason=reason, step="script", ran=ran)
 
 
+async def never_refuse(request):
+    return None
+
+
+async def ignore_end(sending, failure):
+    return None
+
+
 def make_host(upstream_count):
     logger = logs.bind(host="h", zone="a")
     counts = counters.Counters(address=None, prefix="")
@@ -138,6 +155,7 @@
         quotas=types.SimpleNamespace(give_back=lambda workspace, units: None),
         counted=[],
         repeats=[],
+        gaps=[],
         budget=10,
     )
     host.usage = types.SimpleNamespace(
@@ -164,8 +182,19 @@
         find_return=lambda service: host.return_seconds,
     )
     host.moves = types.SimpleNamespace(
-        choose=lambda request, found, again: relay_moves.Choice(found=found),
+        choose=lambda request, found, again: relay_moves.Choice(
+            found=found, series=SERIES
+        ),
         note_answer=lambda series, upstream, failed, seconds: None,
+        note_pace=lambda series, upstream, gap: host.gaps.append(gap),
+    )
+    host.suspects = types.SimpleNamespace(
+        admit=never_refuse,
+        keep_apart=lambda request, found: found,
+        begin=lambda request, upstream, start: None,
+        note_event=lambda sending: None,
+        drop=lambda sending: None,
+        end=ignore_end,
     )
     router = relay_routers.PlainRouter(zone="a")
     host.find_router = lambda service: router
@@ -312,6 +341,12 @@
         assert len(events) == EVENTS, events
 
 
+@behave.then("relays: its pace is counted once, with {seconds:g} s an event")
+def check_pace(context, seconds):
+    assert len(context.host.gaps) == 1, context.host.gaps
+    assert abs(context.host.gaps[0] - seconds) < PACE_SLACK, context.host.gaps
+
+
 @behave.then("relays: the refusal says when to come back")
 def check_retry_after(context):
     assert context.failure.retry_after > 0, context.failure
