Judge a version by how fast it is, too, before its move is completed

Cause: the alarm on slow answers needs five to seven clearly slow ones on one route, and a trial of 11 s with 3.6% of the requests, less those of upstreams that still warm up, has five to eight. The judgement at the end of the trial looked at failures alone.

Three of the new rows of 'A version that ...' passed before, the one with 30 requests/s did not.

Change: at its time a version is taken back if its latencies, to the first event or between events, rank behind those of the old version, each taken to be half as long again, on a route or on all: Wilcoxon's rank sum beyond three standard deviations. It needs four slow answers, not seven.

Ruled out: shares above each edge, as with six answers none beyond 2.25 times the usual latencies was significant; a larger share in the trial, which EXPOSURE bounds for versions that turn bad at the end.

Left: a version that slows down only under the whole load is found after its trial by nobody.

--- a/buckthornhold/coordination/evidence.py
+++ b/buckthornhold/coordination/evidence.py
@@ -281,6 +281,50 @@
     return _mix(weights)
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Ranks:
+    """How latencies of the new version rank among those of the old one.
+
+    ``excess`` is by how many more of its ``count`` attempts than half were
+    the slower ones, and ``variance`` that of the excess where both versions
+    are alike: the rank sum of Wilcoxon, Mann and Whitney.
+    """
+
+    count: int = 0
+    excess: float = 0.0
+    variance: float = 0.0
+
+    def add(self, other: "Ranks") -> "Ranks":
+        """Return the ranks of two groups that were each ranked by itself."""
+        return Ranks(
+            count=self.count + other.count,
+            excess=self.excess + other.excess,
+            variance=self.variance + other.variance,
+        )
+
+
+def rank_bins(old_bins: list[int], new_bins: list[int]) -> Ranks:
+    """Rank latencies of the new version among the old one's.
+
+    The old ones are taken to be one bin longer, ``LATENCY_TOLERANCE``.
+    """
+    old_count, new_count = sum(old_bins), sum(new_bins)
+    if not old_count or not new_count:
+        return Ranks()
+    slower = 0.0
+    passed = 0
+    for old, new in zip([0, *old_bins[:-1]], new_bins, strict=True):
+        slower += new * (passed + old / 2)
+        passed += old
+    share = slower / (old_count * new_count)
+    total = old_count + new_count + 1
+    return Ranks(
+        count=new_count,
+        excess=new_count * (share - 0.5),
+        variance=new_count * total / (12 * old_count),
+    )
+
+
 def _find_bin(edges: tuple[float, ...], seconds: float) -> int:
     for place, edge in enumerate(edges):
         if seconds <= edge:
--- a/buckthornhold/coordination/version_moves.py
+++ b/buckthornhold/coordination/version_moves.py
@@ -31,6 +31,10 @@
 SPREADS = 2.0
 #: Failures of the new version below which that excess says nothing.
 LEAST_FAILURES = 2
+#: A version isn't good whose latencies rank behind the old one's, each a bin
+#: longer, by more standard deviations than this; of so many attempts at least.
+SLOW_SPREADS = 3.0
+LEAST_SLOW_ATTEMPTS = 4
 #: How long before its time a version is judged, in seconds; the longest
 #: streams take about as long. No more than a part of the move's time.
 SWITCH_SECONDS = 4.0
@@ -198,9 +202,34 @@
             )
     if _fails_more(old, new):
         return f"{new.failures} of {new.attempts} attempts failed"
+    return _find_slowness(by_route)
+
+
+def _find_slowness(
+    by_route: dict[str, list[evidence.Tally]],
+) -> str:
+    """Return at what the new version is slower than the old, or nothing."""
+    for what, bins in (
+        ("time to first event", "first_tokens"),
+        ("time between events", "gaps"),
+    ):
+        total = evidence.Ranks()
+        for name, (old, new) in by_route.items():
+            ranks = evidence.rank_bins(getattr(old, bins), getattr(new, bins))
+            if _are_slow(ranks):
+                return f"{what} of {ranks.count} attempts on {name}"
+            total = total.add(ranks)
+        if _are_slow(total):
+            return f"{what} of {total.count} attempts"
     return ""
 
 
+def _are_slow(ranks: evidence.Ranks) -> bool:
+    if ranks.count < LEAST_SLOW_ATTEMPTS:
+        return False
+    return ranks.excess > SLOW_SPREADS * math.sqrt(ranks.variance)
+
+
 def _fails_more(old: evidence.Tally, new: evidence.Tally) -> bool:
     if new.failures < LEAST_FAILURES:
         return False
--- a/features/relays/version_moves.feature
+++ b/features/relays/version_moves.feature
@@ -18,6 +18,10 @@
       | 318  | 16      | fails half                | taken_back |
       | 85   | 14      | is 8 times as slow        | taken_back |
       | 318  | 16      | is 8 times as slow        | taken_back |
+      | 30   | 16      | is 8 times as slow        | taken_back |
+      | 85   | 14      | makes tokens 4 times as slowly | taken_back |
+      | 318  | 16      | makes tokens 4 times as slowly | taken_back |
+      | 30   | 16      | makes tokens 4 times as slowly | taken_back |
       | 318  | 16      | fails half on one route   | taken_back |
       | 318  | 16      | fails half from 5 s on    | taken_back |
       | 318  | 16      | fails half at the end     | done       |
--- a/features/steps/version_move_steps.py
+++ b/features/steps/version_move_steps.py
@@ -18,6 +18,10 @@
 LASTING = {"ruling": 0.72, "query": 0.46, "commentary": 2.45}
 FIRST_SECONDS = 0.15
 SLOW_FACTOR = 8
+#: Time between events, and by how much more a slow version takes.
+GAP_SECONDS = 0.04
+GAP_FACTOR = 4
+SLOW_FAULTS = ("is 8 times as slow", "makes tokens 4 times as slowly")
 STEP_SECONDS = 0.05
 #: Hosts hear of each other's evidence with about this lag, in steps.
 LAG_STEPS = 10
@@ -62,12 +66,15 @@
     """Count one answer; return the request."""
     seconds = context.progress.order.seconds
     bad = new and is_bad(fault, route, now, seconds)
-    slow = fault == "is 8 times as slow"
+    slow = fault in SLOW_FAULTS
     fails = (bad and not slow) or fault == "both"
     failed = fails and draw.random() < 0.5
     first = FIRST_SECONDS * draw.uniform(0.5, 1.5)
-    if bad and slow:
+    gap = GAP_SECONDS * draw.uniform(0.5, 2.0)
+    if bad and fault == "is 8 times as slow":
         first *= SLOW_FACTOR
+    if bad and fault == "makes tokens 4 times as slowly":
+        gap *= GAP_FACTOR
     tally = context.tallies.setdefault(
         evidence.Series(
             move=version_moves.make_name(context.progress.order),
@@ -81,6 +88,7 @@
         tally.count_outcome(failed=failed)
         if not failed:
             tally.count_first_token(first)
+            tally.count_gap(gap)
     return Sent(now, new, failed or (bad and slow), LASTING[route])
 
 
