Bound what an upstream's answer may take of a host's memory

What callers would have seen: a host that ends for want of memory, and all of its requests with it, when an upstream sends bytes that do not end.

Cause: bodies were read whole and events kept until their end, both without a bound, and the library skips interim answers (1xx) without a limit. Heads and single header lines were bounded by the library already. The first request path bounded events (engine_events), not bodies.

Change: bodies.read_body bounds one body to 4 MiB and all that are read at once to 32 MiB, of which the first 64 KiB of each are not counted, so that usual answers are read while long ones use it up. An event is bounded to 1 MiB, and a connection ends after 32 interim answers. What is too long is a broken answer. An engine's answer that is no JSON is a failure, too, in place of an error.

--- a/buckthornhold/clients.py
+++ b/buckthornhold/clients.py
@@ -1,6 +1,13 @@
 """HTTP client sessions that send each request once."""
 
+import asyncio
+import functools
+
 import aiohttp
+from aiohttp import client_proto
+
+#: More interim answers (1xx) than any server sends before the final one.
+MOST_INTERIM_ANSWERS = 32
 
 
 class ConnectionLost(aiohttp.ClientError):
@@ -28,6 +35,24 @@
         raise ConnectionLost(repr(error)) from error
 
 
+class Protocol(client_proto.ResponseHandler):
+    """Reads answers; gives up after too many interim ones.
+
+    The library skips them without a limit.
+    """
+
+    _interim = 0
+
+    async def read(self):
+        """Return the next answer's head and body."""
+        message, payload = await super().read()
+        self._interim = self._interim + 1 if message.code < 200 else 0
+        if self._interim > MOST_INTERIM_ANSWERS:
+            self.close()
+            raise ConnectionLost("interim answers without end")
+        return message, payload
+
+
 class Connector(aiohttp.TCPConnector):
     """Keeps idle connections, until one to the same address went silent.
 
@@ -35,6 +60,12 @@
     lost its state, silences the others as well, while new ones work.
     """
 
+    def __init__(self, **options) -> None:
+        super().__init__(**options)
+        self._factory = functools.partial(
+            Protocol, loop=asyncio.get_running_loop()
+        )
+
     def drop_idle(self, address: str) -> None:
         """Close the idle connections to an address, ``IP:port``."""
         ip, _, port = address.rpartition(":")
--- a/buckthornhold/http_engines.py
+++ b/buckthornhold/http_engines.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 
+from buckthornhold import bodies
 from buckthornhold import engine_events
 from buckthornhold import engines
 from buckthornhold import reasons
@@ -20,11 +21,17 @@
     """Client of one engine; never sends a request again by itself."""
 
     def __init__(
-        self, *, session: aiohttp.ClientSession, address: str, timeout: float
+        self,
+        *,
+        session: aiohttp.ClientSession,
+        address: str,
+        timeout: float,
+        budget: bodies.Budget,
     ) -> None:
         self._session = session
         self._address = address
         self._timeout = timeout
+        self._budget = budget
 
     @property
     def address(self) -> str:
@@ -102,17 +109,26 @@
                 if response.status != 200:
                     return self._describe_refusal(
                         response.status,
-                        await response.text(),
+                        await self._read_text(response),
                         response.headers.get("Retry-After"),
                     )
-                return await response.json()
-        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+                return json.loads(await self._read_text(response))
+        except (
+            TimeoutError,
+            aiohttp.ClientError,
+            OSError,
+            ValueError,
+        ) as error:
             return self._fail(
                 reasons.Reason.UPSTREAM_UNREACHABLE,
                 repr(error),
                 reasons.Ran.UNKNOWN,
             )
 
+    async def _read_text(self, response: aiohttp.ClientResponse) -> str:
+        body = await bodies.read_body(response.content, budget=self._budget)
+        return body.decode(errors="replace")
+
     def _make_reader(
         self, request_id: str, attempt: str, sink: engines.Sink
     ) -> engine_events.EventReader:
@@ -143,7 +159,7 @@
                 if response.status != 200:
                     return self._describe_refusal(
                         response.status,
-                        await response.text(),
+                        await self._read_text(response),
                         response.headers.get("Retry-After"),
                     )
                 return await self._read_stream(response, reader, sink)
--- a/buckthornhold/platform/workers.py
+++ b/buckthornhold/platform/workers.py
@@ -7,6 +7,7 @@
 import multidict
 import yarl
 
+from buckthornhold import bodies
 from buckthornhold import clients
 from buckthornhold import reasons
 from buckthornhold import relay_messages
@@ -21,10 +22,12 @@
 KEEP_IDLE_SECONDS = 4.0
 #: Headers that aiohttp would add by itself.
 NO_DEFAULTS = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
+#: Longest event of a stream, in bytes.
+EVENT_LIMIT_BYTES = 1 << 20
 STREAM_TYPE = "text/event-stream"
 
 
-class WorkerConnector(aiohttp.TCPConnector):
+class WorkerConnector(clients.Connector):
     """Keeps connections, but none on which unasked bytes have come.
 
     The library looks for those only when a connection is given back; a
@@ -58,9 +61,17 @@
 class WorkerAnswer(relay_messages.UpstreamAnswer):
     """A worker's answer; ``headers`` are those that go to the caller."""
 
-    def __init__(self, response: aiohttp.ClientResponse, *, peer: str) -> None:
+    def __init__(
+        self,
+        response: aiohttp.ClientResponse,
+        *,
+        peer: str,
+        budget: bodies.Budget,
+    ) -> None:
         self._response = response
         self._peer = peer
+        self._budget = budget
+        self._event = bodies.Body(budget=budget, limit=EVENT_LIMIT_BYTES)
         # The response lets go of its connection at the end of the body.
         self._protocol = response.connection and response.connection.protocol
         self._buffer = b""
@@ -87,7 +98,9 @@
     async def read_body(self) -> bytes | reasons.Failure:
         """Return the whole body."""
         try:
-            body = await self._response.content.read()
+            body = await bodies.read_body(
+                self._response.content, budget=self._budget
+            )
         except (aiohttp.ClientError, OSError) as error:
             return self._fail(repr(error))
         return self._check_end() or body
@@ -104,10 +117,11 @@
                 return relay_messages.Event(event_id=_find_id(data), data=data)
             try:
                 chunk = await self._response.content.readany()
+                self._buffer += chunk
+                self._event.resize(len(self._buffer))
             except (aiohttp.ClientError, OSError) as error:
                 return self._fail(repr(error))
             if chunk:
-                self._buffer += chunk
                 continue
             failure = self._check_end()
             if failure is not None:
@@ -118,6 +132,7 @@
 
     def close(self) -> None:
         """Give the connection back, or end it if the answer isn't read."""
+        self._event.release()
         if self._complete:
             self._response.release()
         else:
@@ -151,6 +166,7 @@
 
     def __init__(self, *, session: aiohttp.ClientSession) -> None:
         self._session = session
+        self._budget = bodies.Budget()
 
     async def open(
         self,
@@ -193,7 +209,7 @@
                 reasons.Ran.UNKNOWN,
                 repr(error),
             )
-        return _check_head(response, request, upstream)
+        return self._check_head(response, request, upstream)
 
     async def is_listening(self, upstream) -> bool:
         """Tell whether a process takes connections at a worker's address."""
@@ -226,27 +242,26 @@
             fields[names.LAST_EVENT] = resume_after
         return fields
 
-
-def _check_head(response, request, upstream):
-    """Return the answer, or why it isn't the answer to this request."""
-    request_id = request.contract.request_id
-    if names.NOT_RUN in response.headers or response.status == 421:
-        response.release()
-        return _fail(
-            reasons.Reason.UPSTREAM_REFUSED,
-            upstream,
-            reasons.Ran.NO,
-            f"status {response.status}, not run",
-        )
-    if response.headers.get(names.REQUEST_ID) != request_id:
-        response.close()
-        return _fail(
-            reasons.Reason.ANSWER_CROSSED,
-            upstream,
-            reasons.Ran.UNKNOWN,
-            "the answer names another request",
-        )
-    return WorkerAnswer(response, peer=upstream.name)
+    def _check_head(self, response, request, upstream):
+        """Return the answer, or why it isn't the answer to this request."""
+        request_id = request.contract.request_id
+        if names.NOT_RUN in response.headers or response.status == 421:
+            response.release()
+            return _fail(
+                reasons.Reason.UPSTREAM_REFUSED,
+                upstream,
+                reasons.Ran.NO,
+                f"status {response.status}, not run",
+            )
+        if response.headers.get(names.REQUEST_ID) != request_id:
+            response.close()
+            return _fail(
+                reasons.Reason.ANSWER_CROSSED,
+                upstream,
+                reasons.Ran.UNKNOWN,
+                "the answer names another request",
+            )
+        return WorkerAnswer(response, peer=upstream.name, budget=self._budget)
 
 
 def _fail(reason, upstream, ran, detail) -> reasons.Failure:
--- a/buckthornhold/services.py
+++ b/buckthornhold/services.py
@@ -8,6 +8,7 @@
 import aiohttp
 import yarl
 
+from buckthornhold import bodies
 from buckthornhold import reasons
 
 NOT_RUN_HEADER = "X-Not-Run"
@@ -73,10 +74,12 @@
         session: aiohttp.ClientSession,
         address: str,
         connect_timeout: float,
+        budget: bodies.Budget,
     ) -> None:
         self._session = session
         self._address = address
         self._connect_timeout = connect_timeout
+        self._budget = budget
 
     @property
     def address(self) -> str:
@@ -102,7 +105,9 @@
                     total=timeout, sock_connect=self._connect_timeout
                 ),
             ) as response:
-                body = await response.read()
+                body = await bodies.read_body(
+                    response.content, budget=self._budget
+                )
         except (
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
--- a/buckthornhold/upstreams.py
+++ b/buckthornhold/upstreams.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 
+from buckthornhold import bodies
 from buckthornhold import engines
 from buckthornhold import hosts
 from buckthornhold import http_engines
@@ -80,6 +81,7 @@
         self._host = host
         self._host_list = host_list
         self._session = session
+        self._budget = bodies.Budget()
         self._settings = config
         self._upstreams: dict[tuple[str, int], Upstream] = {}
         self._entry_hosts: tuple[hosts.HostRecord, ...] = ()
@@ -355,12 +357,14 @@
                 session=self._session,
                 address=address,
                 timeout=self._settings.upstream_connect_timeout,
+                budget=self._budget,
             )
             return Upstream(record=record, engine=engine)
         service = services.HttpPlainService(
             session=self._session,
             address=address,
             connect_timeout=self._settings.upstream_connect_timeout,
+            budget=self._budget,
         )
         return Upstream(record=record, service=service)
 
--- a/features/steps/engine_answers_steps.py
+++ b/features/steps/engine_answers_steps.py
@@ -9,6 +9,7 @@
 from behave import then
 from behave import when
 
+from buckthornhold import bodies
 from buckthornhold import engines
 from buckthornhold import http_engines
 from buckthornhold import reasons
@@ -167,7 +168,10 @@
         asyncio.timeout(WAIT_SECONDS),
     ):
         engine = http_engines.HttpModelEngine(
-            session=session, address=address, timeout=2.0
+            session=session,
+            address=address,
+            timeout=2.0,
+            budget=bodies.Budget(),
         )
         await use(engine)
     if context.raw_engine is not None:
