Use no upstream whose entry is odd, and stop at none in the store

What callers would have seen: requests that fail with 500, as one in a few was sent to an upstream at port 70000; hosts whose steps ended with an error at each reading of the store, so that they no longer followed it.

Cause: entries were checked for the types of their fields, not for their values, and three readers (the store's values, the states of moves, the record for hosts that start) raised other errors than those that were handled.

Deep nesting among the upstreams' entries was refused before, too.

Change: an address is checked as settings' are, numbers are finite and within bounds; what can't be read is logged with its place and left out, the others hold. The operator's documents take finite numbers alone.

Left: the store's keys of leases and of usage are read as this system wrote them.

--- a/buckthornhold/platform/configurations.py
+++ b/buckthornhold/platform/configurations.py
@@ -17,7 +17,7 @@
 
 class _Backend(_Document):
     service: str
-    weight: float
+    weight: pydantic.FiniteFloat
 
 
 class _Route(_Document):
@@ -25,8 +25,8 @@
     host: str
     pathPrefix: str
     kind: typing.Literal["streaming", "idempotent", "non_idempotent"]
-    timeoutMs: float
-    targetLatencyMs: float = 1000
+    timeoutMs: pydantic.FiniteFloat
+    targetLatencyMs: pydantic.FiniteFloat = 1000
     #: 0 is the most urgent, so it says urgency rather than priority.
     priority: int = 5
     service: str | None = None
@@ -37,7 +37,7 @@
     #: Whether requests need no key.
     public: bool = False
     resumable: bool = False
-    gapAimMs: float = 0
+    gapAimMs: pydantic.FiniteFloat = 0
 
 
 class _Engine(_Document):
@@ -48,7 +48,7 @@
 class _Scale(_Document):
     min: int
     max: int
-    bootS: float = 0
+    bootS: pydantic.FiniteFloat = 0
     spotPrice: float | None = None
     zonePrices: dict[str, float] = {}
 
@@ -63,8 +63,8 @@
 class _Limits(_Document):
     maxHeaderBytes: int = 16384
     maxBodyBytes: int = 4 << 20
-    headerTimeoutMs: float = 3000
-    idleTimeoutMs: float = 15000
+    headerTimeoutMs: pydantic.FiniteFloat = 3000
+    idleTimeoutMs: pydantic.FiniteFloat = 15000
 
 
 class _Tenant(_Document):
@@ -73,8 +73,8 @@
     priority: int | None = None
     unit: str = "requests"
     plainTokens: int = 1
-    ratePerS: float = 0
-    burst: float = 0
+    ratePerS: pydantic.FiniteFloat = 0
+    burst: pydantic.FiniteFloat = 0
 
 
 class _Configuration(_Document):
--- a/buckthornhold/platform/directories.py
+++ b/buckthornhold/platform/directories.py
@@ -5,25 +5,30 @@
 import pydantic
 
 from buckthornhold import directories
+from buckthornhold import settings
 
 PREFIX = "servers/"
+#: More than any worker runs at once.
+MOST_SLOTS = 1_000_000
+#: The end of the times that are taken for true, in Unix ms: the year 3000.
+LATEST_BIRTH = 32_503_680_000_000
 
 
 class _Entry(pydantic.BaseModel, extra="ignore", frozen=True, strict=True):
     """An entry; one with a field missing or of another type is no use."""
 
-    service: str
-    address: str
+    service: settings.Name
+    address: settings.Address
     zone: str
     #: Version of the worker's software.
     version: str
-    slots: int
+    slots: int = pydantic.Field(ge=1, le=MOST_SLOTS)
     state: typing.Literal["ready", "draining"]
-    coldRemainingMs: float = 0
+    coldRemainingMs: pydantic.FiniteFloat = pydantic.Field(default=0, ge=0)
     #: Unix time in ms at which the process started.
-    born: int = 0
+    born: int = pydantic.Field(default=0, ge=0, le=LATEST_BIRTH)
     spot: bool = False
-    leaves_ms: float | None = None
+    leaves_ms: pydantic.FiniteFloat | None = None
 
 
 def decode(name: str, text: str) -> directories.UpstreamRecord:
--- a/buckthornhold/platform/rollouts.py
+++ b/buckthornhold/platform/rollouts.py
@@ -26,7 +26,7 @@
     service: str
     #: The version to move to, not a host.
     target: str
-    durationS: float
+    durationS: pydantic.FiniteFloat
 
 
 def decode(entry: stores.Entry) -> version_moves.Order | None:
--- a/buckthornhold/platform/stores.py
+++ b/buckthornhold/platform/stores.py
@@ -154,7 +154,7 @@
         """
         try:
             value = base64.b64decode(item["value"])
-        except ValueError as error:
+        except (ValueError, TypeError) as error:
             loguru.logger.bind(step="store", peer=item["key"]).warning(
                 f"the value is no base64 text, taken as empty: {error}"
             )
--- a/buckthornhold/recoveries.py
+++ b/buckthornhold/recoveries.py
@@ -5,7 +5,8 @@
 """
 
 import base64
-import json
+
+import pydantic
 
 from buckthornhold import reasons
 from buckthornhold import stores
@@ -18,6 +19,17 @@
 MOST_TRIES = 2
 
 
+class Record(pydantic.BaseModel, frozen=True):
+    """What the store keeps; ``time`` is in seconds since the epoch.
+
+    ``counts`` are messages as ``Summaries.export_counts`` makes them, as
+    base64 text.
+    """
+
+    time: pydantic.FiniteFloat
+    counts: list[str]
+
+
 class Recovery(tasks.PeriodicService):
     """Reads the record once at the start; the holder keeps it."""
 
@@ -43,12 +55,12 @@
 
     async def _write(self) -> None:
         counts = self._host.summaries.export_counts()
-        record = {
-            "time": self._host.summaries.read_time_of_day(),
-            "counts": [base64.b64encode(it).decode() for it in counts],
-        }
+        record = Record(
+            time=self._host.summaries.read_time_of_day(),
+            counts=[base64.b64encode(it).decode() for it in counts],
+        )
         result = await self._host.store.put(
-            KEY, json.dumps(record), expect=None
+            KEY, record.model_dump_json(), expect=None
         )
         if isinstance(result, reasons.Failure):
             self._logger.bind(
@@ -66,9 +78,15 @@
         self._read = True
         if not isinstance(entry, stores.Entry):
             return
-        record = json.loads(entry.value)
-        age = self._host.summaries.read_time_of_day() - record["time"]
-        counts = [base64.b64decode(it) for it in record["counts"]]
+        try:
+            record = Record.model_validate_json(entry.value)
+            counts = [base64.b64decode(it) for it in record.counts]
+        except ValueError as error:
+            self._logger.bind(step="recovery", peer=KEY).error(
+                f"the record of version {entry.version} can't be read: {error}"
+            )
+            return
+        age = self._host.summaries.read_time_of_day() - record.time
         self._host.summaries.restore_counts(counts)
         self._logger.bind(step="recovery").info(
             f"{len(counts)} processes had counted {age:.1f} s ago"
--- a/buckthornhold/relay_moves.py
+++ b/buckthornhold/relay_moves.py
@@ -13,6 +13,8 @@
 import dataclasses
 import json
 
+import pydantic
+
 from buckthornhold import contracts
 from buckthornhold import reasons
 from buckthornhold import relay_messages
@@ -25,6 +27,7 @@
 from buckthornhold.coordination import version_moves
 from buckthornhold.peers import summaries_pb2
 
+_STATES = pydantic.TypeAdapter(list[version_moves.Progress])
 TOPIC = "moves"
 #: Where the store has the states of all moves.
 KEY = "moves"
@@ -303,8 +306,16 @@
         """Take in all moves' states, if they are newer than the known ones."""
         if version <= self._version:
             return False
+        # Even if it can't be read, what follows must be written over it.
         self._version = version
-        self._states = load_states(text)
+        try:
+            self._states = load_states(text)
+        except ValueError as error:
+            self._logger.bind(step="moves", peer=KEY).error(
+                f"the states of version {version} can't be read, those known "
+                f"are kept: {error}"
+            )
+            return False
         for progress in self._states.values():
             self._take_order(progress.order)
             self._logger.bind(
@@ -356,10 +367,5 @@
 
 def load_states(text: str) -> dict[str, version_moves.Progress]:
     """Read moves' states by service; raise ValueError if that fails."""
-    found = {}
-    for values in json.loads(text):
-        values["order"] = version_moves.Order(**values["order"])
-        values["state"] = version_moves.State(values["state"])
-        progress = version_moves.Progress(**values)
-        found[progress.order.service] = progress
-    return found
+    found = _STATES.validate_json(text)
+    return {progress.order.service: progress for progress in found}
