--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -85,7 +85,11 @@
 @behave.then("soak: faults of every kind are among them")
 def check_all_kinds(context):
     seen = {(it.group, it.kind) for plan in context.plans for it in plan}
-    groups = (*soak_plans.GROUPS, *soak_plans.NETWORK_GROUPS)
+    groups = (
+        *soak_plans.GROUPS,
+        *soak_plans.NETWORK_GROUPS,
+        *soak_plans.SILENCE_GROUPS,
+    )
     for group, kinds, _ in groups:
         for kind in kinds:
             assert (group, kind) in seen, (group, kind)
--- a/testbed/soak_links.py
+++ b/testbed/soak_links.py
@@ -12,7 +12,7 @@
 class Link:
     """Passes TCP connections on to one address.
 
-    ``fault`` is empty or one of ``soak_plans.LINK_KINDS``. A silent link and
+    ``fault`` is empty or one of the kinds in ``soak_plans``. A silent link and
     one that is cut in one way swallow nothing: what was sent goes on once
     they are mended, as TCP sends it again. ``closed`` refuses connections.
     """
--- a/testbed/soak_plans.py
+++ b/testbed/soak_plans.py
@@ -32,6 +32,14 @@
     ("zone", ("silence", "reset"), 1),
 )
 NETWORK_PAUSES = (1.0, 6.0)
+#: Faults of connections that are open, drawn apart for the same reason.
+SILENCE_KINDS = ("silence open",)
+SILENCE_GROUPS = (
+    ("store link", SILENCE_KINDS, 1),
+    ("upstream link", SILENCE_KINDS, 1),
+    ("peer link", SILENCE_KINDS, 1),
+)
+SILENCE_PAUSES = (2.0, 8.0)
 #: How long faults last, in seconds, and the time between their beginnings:
 #: shorter than they last, so that most overlap another one.
 LENGTHS = (0.4, 4.0)
@@ -75,6 +83,8 @@
         )
     network = random.Random(f"soak network {seed}")
     faults += _draw(network, NETWORK_GROUPS, NETWORK_PAUSES, seconds)
+    silence = random.Random(f"soak silence {seed}")
+    faults += _draw(silence, SILENCE_GROUPS, SILENCE_PAUSES, seconds)
     return sorted(faults, key=lambda it: it.start)
 
 
