Bound how long a request waits for word on its upstream and of itself

A trial reading of the quarantine of relayed requests: a request whose connection broke waited up to a second, the connect's own bound, until it was sent again, where an upstream is cut off and refuses nothing; a suspect waited another second for a store that is away. A plain call has 0.6 s in all.

--- a/buckthornhold/relay_suspects.py
+++ b/buckthornhold/relay_suspects.py
@@ -28,6 +28,11 @@
 #: What all hosts had running on a crashed upstream is known after so long, in
 #: seconds; a suspect is judged no sooner.
 SETTLE_SECONDS = 0.1
+#: How long a request waits to learn what became of its upstream, in seconds: a
+#: connection to a process is taken or refused within milliseconds.
+EXAMINE_SECONDS = 0.15
+#: How long a suspect waits for what the store knows of it, in seconds.
+STORE_SECONDS = 0.25
 #: How long a host that starts waits to learn of earlier crashes, in seconds.
 START_PATIENCE_SECONDS = 1.0
 #: When callers are told to ask again for what crashes upstreams, in seconds.
@@ -109,9 +114,16 @@
         if self._judge.convict(content, ran_before=True):
             return self._refuse(content)
         # Hosts that can't be reached may know more of a suspect.
-        await self._host.exchanges.read_fact(
-            quarantines.POISON_PREFIX + content
-        )
+        try:
+            async with asyncio.timeout(STORE_SECONDS):
+                await self._host.exchanges.read_fact(
+                    quarantines.POISON_PREFIX + content
+                )
+        except TimeoutError:
+            self._logger.bind(step="quarantine", peer=content).info(
+                f"the store said nothing of a suspect in {STORE_SECONDS} s, "
+                "which is sent by what hosts know"
+            )
         if self._judge.find_poison(content):
             return self._refuse(content)
         return None
@@ -175,7 +187,8 @@
         if failure.reason is not reasons.Reason.UPSTREAM_BROKEN:
             return
         self._broken.setdefault(sending.upstream.key, []).append(sending)
-        await asyncio.shield(self._start_examination(sending.upstream))
+        task = self._start_examination(sending.upstream)
+        await asyncio.wait([task], timeout=EXAMINE_SECONDS)
 
     def _start_examination(
         self, upstream: relay_upstreams.RelayUpstream
