Drop silent connections on the product's own interface, too

A call without an answer closed its own connection, and the next one took another idle one that was as silent: of the store, the host list, engines and plain services.

Change: clients.drop_if_silent, which the platform's store client uses as well.

Left: calls to the users' cloud interface, which has one or two connections; an engine's load report without its fields raises instead of being a failure.

--- a/buckthornhold/clients.py
+++ b/buckthornhold/clients.py
@@ -76,6 +76,14 @@
                 protocol.close()
 
 
+def drop_if_silent(
+    session: aiohttp.ClientSession, address: str, error: Exception
+) -> None:
+    """Use no idle connection to an address after a call without an answer."""
+    if isinstance(error, TimeoutError):
+        session.connector.drop_idle(address)
+
+
 def make_session() -> aiohttp.ClientSession:
     """Return a session without repeats and without a connection limit."""
     return aiohttp.ClientSession(
--- a/buckthornhold/hosts.py
+++ b/buckthornhold/hosts.py
@@ -9,6 +9,7 @@
 import aiohttp
 import pydantic
 
+from buckthornhold import clients
 from buckthornhold import reasons
 
 
@@ -170,6 +171,7 @@
             TypeError,
             LookupError,
         ) as error:
+            clients.drop_if_silent(self._session, self._address, error)
             return reasons.Failure(
                 reason=reasons.Reason.STORE_UNAVAILABLE,
                 step="host list",
--- a/buckthornhold/http_engines.py
+++ b/buckthornhold/http_engines.py
@@ -8,6 +8,7 @@
 import aiohttp
 
 from buckthornhold import bodies
+from buckthornhold import clients
 from buckthornhold import engine_events
 from buckthornhold import engines
 from buckthornhold import reasons
@@ -119,6 +120,7 @@
             OSError,
             ValueError,
         ) as error:
+            clients.drop_if_silent(self._session, self._address, error)
             return self._fail(
                 reasons.Reason.UPSTREAM_UNREACHABLE,
                 repr(error),
--- a/buckthornhold/platform/stores.py
+++ b/buckthornhold/platform/stores.py
@@ -7,6 +7,7 @@
 import loguru
 import yarl
 
+from buckthornhold import clients
 from buckthornhold import reasons
 from buckthornhold import stores
 
@@ -182,8 +183,7 @@
                 reasons.Reason.STORE_UNAVAILABLE, name, repr(error)
             )
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
-            if isinstance(error, TimeoutError):
-                self._session.connector.drop_idle(self._address)
+            clients.drop_if_silent(self._session, self._address, error)
             return self._fail(
                 reasons.Reason.STORE_UNAVAILABLE,
                 name,
--- a/buckthornhold/services.py
+++ b/buckthornhold/services.py
@@ -9,6 +9,7 @@
 import yarl
 
 from buckthornhold import bodies
+from buckthornhold import clients
 from buckthornhold import reasons
 
 NOT_RUN_HEADER = "X-Not-Run"
@@ -118,6 +119,7 @@
                 reasons.Ran.NO,
             )
         except TimeoutError as error:
+            clients.drop_if_silent(self._session, self._address, error)
             return self._fail(
                 reasons.Reason.UPSTREAM_TIMEOUT,
                 repr(error),
--- a/buckthornhold/stores.py
+++ b/buckthornhold/stores.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 
+from buckthornhold import clients
 from buckthornhold import reasons
 
 MUST_NOT_EXIST = 0
@@ -204,6 +205,7 @@
                 reasons.Reason.STORE_UNAVAILABLE, step, str(error)
             )
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            clients.drop_if_silent(self._session, self._address, error)
             return self._fail(
                 reasons.Reason.STORE_UNAVAILABLE,
                 step,
--- a/features/relay_faults/silent_connections.feature
+++ b/features/relay_faults/silent_connections.feature
@@ -51,3 +51,17 @@
       | /look/ | 0.05  |
       | /look/ | 0.45  |
       | /pay/  | 0.45  |
+
+  # Guards against the same on the product's own interface.
+  Scenario Outline: A call that had no answer uses the connections up
+    Given own interface: <client> to which 5 connections are idle
+    When own interface: open connections go silent
+    And own interface: a call is made that has no answer
+    Then own interface: the next call is answered
+
+    Examples:
+      | client          |
+      | a plain service |
+      | an engine       |
+      | the store       |
+      | the host list   |
--- a/features/steps/engine_answers_steps.py
+++ b/features/steps/engine_answers_steps.py
@@ -4,12 +4,12 @@
 import contextlib
 import json
 
-import aiohttp
 from behave import given
 from behave import then
 from behave import when
 
 from buckthornhold import bodies
+from buckthornhold import clients
 from buckthornhold import engines
 from buckthornhold import http_engines
 from buckthornhold import reasons
@@ -164,7 +164,7 @@
     if context.raw_engine is not None:
         address = await context.raw_engine.start()
     async with (
-        aiohttp.ClientSession() as session,
+        clients.make_session() as session,
         asyncio.timeout(WAIT_SECONDS),
     ):
         engine = http_engines.HttpModelEngine(
