--- a/buckthornhold/relay_searches.py
+++ b/buckthornhold/relay_searches.py
@@ -14,6 +14,7 @@
 #: for how long that is tried.
 NO_UPSTREAM_PAUSE = 0.1
 NO_UPSTREAM_PATIENCE = 0.3
+#: When callers of what could not be served are told to ask again, seconds.
 RETRY_AFTER_SECONDS = 0.5
 
 
--- a/buckthornhold/relays.py
+++ b/buckthornhold/relays.py
@@ -30,7 +30,6 @@
 LEAST_LEFT_SECONDS = 0.05
 #: A request that upstreams refuse is sent so often, to spare the others.
 MOST_SENDINGS = 4
-RETRY_AFTER_SECONDS = 0.5
 #: How long an upstream that took no connection is passed over, seconds.
 UNREACHABLE_SECONDS = 2.0
 #: The same for one that had no room.
@@ -340,7 +339,8 @@
         """Return the final failure, or None if the request is sent again."""
         final = failure.replace(
             ran=self._ran,
-            retry_after=failure.retry_after or RETRY_AFTER_SECONDS,
+            retry_after=failure.retry_after
+            or relay_searches.RETRY_AFTER_SECONDS,
         )
         left = self._request.contract.deadline - time.monotonic()
         if left < LEAST_LEFT_SECONDS or self.sendings >= MOST_SENDINGS:
@@ -365,5 +365,5 @@
             step="relay",
             ran=self._ran,
             detail=detail,
-            retry_after=RETRY_AFTER_SECONDS,
+            retry_after=relay_searches.RETRY_AFTER_SECONDS,
         )
