--- a/testbed/run.py
+++ b/testbed/run.py
@@ -23,6 +23,8 @@
     "versions",
     "at_most_once",
     "handover",
+    "relay_faults",
+    "odd_inputs",
     "leaving",
     "order_faults",
     "poison",
