--- a/features/odd_inputs/endless_answers.feature
+++ b/features/odd_inputs/endless_answers.feature
@@ -24,7 +24,7 @@
   Scenario: Many answers do not end
     Given wire: a relay host before upstreams that send on without end
     When wire: /pay/ is answered 40 times at once with an unframed body without end
-    Then wire: each caller gets 502
+    Then wire: each caller gets 502 or 504 within its time
     And wire: the host has held at most 64 MB of answers
 
   # Guards against the same on the product's own interface.
