Log which parts unanswered requests have when an engine crashes

Cause: the line on a crash named the ids of the requests that were running, so requests with a common part of their prompts could not be told from bystanders of a crash with another cause. Change: admitted requests carry digests of the parts that others may share, and the line names those of the requests without an answer. Measured: features/relay_faults passes; no decision is changed.

--- a/buckthornhold/relay_messages.py
+++ b/buckthornhold/relay_messages.py
@@ -22,7 +22,8 @@
     here. ``units`` is its cost against the workspace's limit.
     ``resume_after`` is the id of the last event that the client received in
     an earlier attempt. ``content`` is a digest that is equal for requests
-    with equal content under any id.
+    with equal content under any id. ``parts`` are the digests of the parts of
+    its prompt that other requests may share.
     """
 
     contract: request_contracts.RequestContract
@@ -34,6 +35,7 @@
     units: float = 1.0
     resume_after: str = ""
     content: str = ""
+    parts: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/buckthornhold/relay_poison_guards.py
+++ b/buckthornhold/relay_poison_guards.py
@@ -55,6 +55,11 @@
     position: int
     prior_crashes: tuple[str, ...]
 
+    @property
+    def answered(self) -> bool:
+        """Whether the upstream has sent an event of its answer."""
+        return self.position > self.start
+
     def make_suspect(self) -> poison_detectors.Suspect:
         """Return the attempt as crash reports contain it."""
         return poison_detectors.Suspect(
@@ -259,7 +264,8 @@
         self._logger.bind(step="quarantine", peer=upstream.name).warning(
             f"upstream crashed with {len(suspects)} requests in flight, "
             f"{sum(bool(suspect.prior_crashes) for suspect in suspects)} of "
-            f"them suspects before: {', '.join(ids)}"
+            f"them suspects before: {', '.join(ids)}; those not answered "
+            f"have the parts {_describe_parts(suspects)}"
         )
         self._detector.publish_crash(
             poison_detectors.Crash(
@@ -321,3 +327,14 @@
             detail=self._detector.find_poison_reason(content),
             retry_after=RETRY_AFTER_SECONDS,
         )
+
+
+def _describe_parts(attempts: list[RelayAttempt]) -> str:
+    """Return the parts of requests that were not answered, for the log."""
+    parts = {
+        part
+        for attempt in attempts
+        if not attempt.answered
+        for part in attempt.request.parts
+    }
+    return ", ".join(sorted(parts)) or "(none)"
--- a/buckthornhold/relay_requests.py
+++ b/buckthornhold/relay_requests.py
@@ -7,6 +7,7 @@
 import time
 import typing
 
+from buckthornhold import prompt_parts
 from buckthornhold import reasons
 from buckthornhold import relay_messages
 from buckthornhold import relay_routers
@@ -149,6 +150,9 @@
             content=make_content_digest(
                 workspace.name if workspace else "", parameters.content_parts
             ),
+            parts=prompt_parts.list_shared(
+                service, [part.name for part in parameters.prompt_parts]
+            ),
         )
 
     def _record_demand(
