Refuse prompts with a part that crashes engines

What callers saw: with one part of a prompt that crashes each engine that begins to answer it, engine after engine crashed and their streams broke (BUDGET). Cause: the poison detector compares whole requests. No two requests with such a part are alike, so each was a suspect once and none twice. Class: the cause of a crash is looked for in one property of a request only. Change: parts of unanswered prompts are suspects, too. One is refused after two crashes at different moments with different requests, if no answer with it began; parts that can't be told apart are refused together. Answers clear parts on all hosts. One detector without a network, used by both interfaces; messages of a chat are its parts.

--- a/buckthornhold/coordination/poison_detectors.py
+++ b/buckthornhold/coordination/poison_detectors.py
@@ -100,6 +100,8 @@
     """Clears suspects or detects them as poison, from the fleet's facts.
 
     ``publish`` applies a fact in this process and sends it to the fleet.
+    ``is_explained`` tells whether a crash has a known cause other than a
+    single request.
     """
 
     def __init__(
@@ -110,7 +112,9 @@
         crash_retention: float,
         poison_retention: float,
         read_time: Callable[[], float] = time.time,
+        is_explained: Callable[[str], bool] = lambda upstream: False,
     ) -> None:
+        self._is_explained = is_explained
         self._facts = known
         self._publish = publish
         self._crash_retention = crash_retention
@@ -326,8 +330,8 @@
         return self._facts.find(key) is not None
 
     def _is_attributed(self, upstream: str) -> bool:
-        """Tell whether a crash is attributed to a poison request."""
-        return any(
+        """Tell whether a crash is attributed to a poison request or part."""
+        return self._is_explained(upstream) or any(
             self.find_poison_reason(suspect.fingerprint)
             for suspect in self.list_suspects(upstream)
         )
--- a/buckthornhold/crash_checks.py
+++ b/buckthornhold/crash_checks.py
@@ -7,8 +7,11 @@
 
 from buckthornhold import attempts
 from buckthornhold import healths
+from buckthornhold import part_guards
+from buckthornhold import request_contracts
 from buckthornhold import tracked_requests
 from buckthornhold import upstreams
+from buckthornhold.coordination import part_detectors
 from buckthornhold.coordination import poison_detectors
 
 #: Time in which all streams that one crash breaks are reported.
@@ -21,7 +24,8 @@
     """Checks upstreams and publishes what ran on those that crashed.
 
     ``running`` are the requests that this host's attempts run; it may change.
-    ``wake`` is called when a check begins.
+    ``wake`` is called when a check begins. ``find_parts`` returns the parts
+    of a request's prompt that others may share.
     """
 
     def __init__(
@@ -31,11 +35,17 @@
         detector: poison_detectors.PoisonDetector,
         running: Mapping[attempts.Attempt, tracked_requests.TrackedRequest],
         wake: Callable[[], None],
+        part_guard: part_guards.PartGuard,
+        find_parts: Callable[
+            [request_contracts.RequestContract], tuple[str, ...]
+        ],
     ) -> None:
         self._host = host
         self._detector = detector
         self._running = running
         self._wake = wake
+        self._part_guard = part_guard
+        self._find_parts = find_parts
         self._broken_attempts: dict[
             tuple, dict[attempts.Attempt, poison_detectors.Suspect]
         ] = {}
@@ -117,6 +127,17 @@
                 suspects=tuple(suspects.values()),
             )
         )
+        self._part_guard.publish_crash(
+            name_incarnation(upstream),
+            (
+                part_detectors.PartSuspect(
+                    content=suspect.fingerprint,
+                    parts=self._find_parts(attempt.contract),
+                )
+                for attempt, suspect in suspects.items()
+                if not suspect.progressed
+            ),
+        )
         return True
 
 
--- a/buckthornhold/poison_guards.py
+++ b/buckthornhold/poison_guards.py
@@ -8,6 +8,7 @@
 from buckthornhold import attempts
 from buckthornhold import crash_checks
 from buckthornhold import healths
+from buckthornhold import part_guards
 from buckthornhold import pools
 from buckthornhold import reasons
 from buckthornhold import request_contracts
@@ -44,11 +45,15 @@
             counters=host.counters,
         )
         self._host = host
+        self._part_guard = part_guards.PartGuard(
+            host=host, start=self._start_in_background
+        )
         self._detector = poison_detectors.PoisonDetector(
             known=host.exchanges.known,
             publish=host.exchanges.publish,
             crash_retention=host.settings.crash_retention,
             poison_retention=host.settings.poison_retention,
+            is_explained=self._part_guard.detector.is_explained,
         )
         self._tracker = tracked_requests.RequestTracker()
         self._running: dict[
@@ -59,6 +64,8 @@
             detector=self._detector,
             running=self._running,
             wake=self.wake,
+            part_guard=self._part_guard,
+            find_parts=self._find_parts,
         )
         self._crashes_learned_at: dict[str, float] = {}
         self._progressed_fingerprints: collections.OrderedDict[str, None] = (
@@ -112,6 +119,9 @@
         request.isolated_upstream = ""
         if self._is_poison(request):
             return await self._refuse(request)
+        part_reason = await self._part_guard.admit(request.parts)
+        if part_reason:
+            return await self._refuse(request, part_reason)
         if not self._detector.list_suspected_crashes(request.fingerprint):
             return None
         if not request.upstream_crashed and not contract.resumed:
@@ -173,7 +183,11 @@
         for attempt, request in self._running.items():
             if attempt.tokens:
                 self._clear(request, crash_checks.read_position(attempt))
+                self._part_guard.record_answer(
+                    request.parts, attempt.first_token_at
+                )
         self._detector.prune()
+        self._part_guard.prune()
         oldest = time.monotonic() - self._host.settings.crash_retention
         for upstream, learned_at in list(self._crashes_learned_at.items()):
             if learned_at < oldest:
@@ -186,7 +200,7 @@
         )
 
     async def _refuse(
-        self, request: tracked_requests.TrackedRequest
+        self, request: tracked_requests.TrackedRequest, detail: str = ""
     ) -> reasons.Failure:
         """Return a refusal, after the facts behind it are pushed to peers."""
         await self._host.exchanges.wait_pushed(
@@ -196,7 +210,8 @@
             reason=reasons.Reason.POISON_REQUEST,
             step="quarantine",
             ran=reasons.Ran.YES if request.sent else reasons.Ran.NO,
-            detail=self._detector.find_poison_reason(request.fingerprint),
+            detail=detail
+            or self._detector.find_poison_reason(request.fingerprint),
         )
 
     async def _wait_for_outcome(
@@ -258,6 +273,15 @@
                 return
             await asyncio.sleep(POLL_SECONDS)
 
+    def _start_in_background(self, job, *, step: str) -> asyncio.Task:
+        return self._host.background.start(job, step=step)
+
+    def _find_parts(
+        self, contract: request_contracts.RequestContract
+    ) -> tuple[str, ...]:
+        request = self._tracker.find(contract)
+        return request.parts if request is not None else ()
+
     def _list_upstreams(
         self, contract: request_contracts.RequestContract
     ) -> list[str]:
@@ -313,6 +337,9 @@
         suspect = crash_checks.make_suspect(attempt, request)
         if attempt.tokens:
             self._clear(request, crash_checks.read_position(attempt))
+            self._part_guard.record_answer(
+                request.parts, attempt.first_token_at
+            )
             self._progressed_fingerprints[request.fingerprint] = None
             self._progressed_fingerprints.move_to_end(request.fingerprint)
             if (
--- a/buckthornhold/relay_poison_guards.py
+++ b/buckthornhold/relay_poison_guards.py
@@ -11,11 +11,13 @@
 import math
 import time
 
+from buckthornhold import part_guards
 from buckthornhold import reasons
 from buckthornhold import relay_messages
 from buckthornhold import relay_upstreams
 from buckthornhold import tasks
 from buckthornhold.coordination import facts
+from buckthornhold.coordination import part_detectors
 from buckthornhold.coordination import poison_detectors
 from buckthornhold.coordination import suspect_slots
 
@@ -81,12 +83,18 @@
             counters=host.counters,
         )
         self._host = host
+        self._part_guard = part_guards.PartGuard(
+            host=host,
+            start=host.background.start,
+            read_time=host.summaries.read_time_of_day,
+        )
         self._detector = poison_detectors.PoisonDetector(
             known=host.exchanges.known,
             publish=host.exchanges.publish,
             crash_retention=host.settings.crash_retention,
             poison_retention=host.settings.poison_retention,
             read_time=host.summaries.read_time_of_day,
+            is_explained=self._part_guard.detector.is_explained,
         )
         self._started_at = time.monotonic()
         self._running_attempts: set[RelayAttempt] = set()
@@ -105,6 +113,7 @@
     async def run_once(self) -> None:
         """Remove expired crashes."""
         self._detector.prune()
+        self._part_guard.prune()
         oldest = time.monotonic() - self._host.settings.crash_retention
         for upstream, moment in list(self._received_at.items()):
             if moment < oldest:
@@ -117,6 +126,9 @@
         content = request.content
         if self._detector.find_poison_reason(content):
             return self._make_refusal(content)
+        part_reason = await self._part_guard.admit(request.parts)
+        if part_reason:
+            return _make_refusal(part_reason)
         if not self._detector.list_suspected_crashes(content):
             return None
         await self._wait_for_crash_reports(content)
@@ -191,6 +203,8 @@
 
     def record_event(self, attempt: RelayAttempt) -> None:
         """Count an event; it clears a suspect that got further than before."""
+        if not attempt.answered:
+            self._part_guard.record_answer(attempt.request.parts)
         attempt.position += 1
         if attempt.prior_crashes:
             self._detector.clear(attempt.request.content, attempt.position)
@@ -206,6 +220,8 @@
         self._running_attempts.discard(attempt)
         if failure is None:
             self._detector.clear(attempt.request.content, math.inf)
+            if not attempt.answered:
+                self._part_guard.record_answer(attempt.request.parts)
             return
         if failure.reason is not reasons.Reason.UPSTREAM_BROKEN:
             return
@@ -276,6 +292,17 @@
                 suspects=tuple(suspect.make_suspect() for suspect in suspects),
             )
         )
+        self._part_guard.publish_crash(
+            relay_upstreams.make_process_name(upstream),
+            (
+                part_detectors.PartSuspect(
+                    content=attempt.request.content,
+                    parts=attempt.request.parts,
+                )
+                for attempt in suspects
+                if not attempt.answered
+            ),
+        )
         for attempt in suspects:
             if attempt.prior_crashes:
                 self._host.background.start(
@@ -321,12 +348,16 @@
                 return
 
     def _make_refusal(self, content: str) -> reasons.Failure:
-        return reasons.Failure(
-            reason=reasons.Reason.POISON_REQUEST,
-            step="quarantine",
-            detail=self._detector.find_poison_reason(content),
-            retry_after=RETRY_AFTER_SECONDS,
-        )
+        return _make_refusal(self._detector.find_poison_reason(content))
+
+
+def _make_refusal(detail: str) -> reasons.Failure:
+    return reasons.Failure(
+        reason=reasons.Reason.POISON_REQUEST,
+        step="quarantine",
+        detail=detail,
+        retry_after=RETRY_AFTER_SECONDS,
+    )
 
 
 def _describe_parts(attempts: list[RelayAttempt]) -> str:
--- a/buckthornhold/tracked_requests.py
+++ b/buckthornhold/tracked_requests.py
@@ -4,6 +4,7 @@
 import dataclasses
 import weakref
 
+from buckthornhold import prompt_parts
 from buckthornhold import request_contracts
 from buckthornhold.coordination import poison_detectors
 
@@ -12,6 +13,7 @@
 class TrackedRequest:
     """The poison guard's state of one request in flight on this host.
 
+    ``parts`` are the digests of the messages that other chats may share.
     ``known_crashes`` are the crashes that it was suspected of when its last
     attempt began. ``isolated_upstream`` is the upstream that it is sent to
     alone, as a suspect. ``held_until`` is on the monotonic clock, in seconds;
@@ -21,6 +23,7 @@
 
     fingerprint: str
     request_id: str
+    parts: tuple[str, ...] = ()
     known_crashes: tuple[str, ...] = ()
     upstream_crashed: bool = False
     sent: bool = False
@@ -51,6 +54,9 @@
                     contract.route, prompt
                 ),
                 request_id=contract.request_id,
+                parts=prompt_parts.list_shared(
+                    contract.route, prompt_parts.split_messages(prompt)
+                ),
             )
             self._by_contract[contract] = request
             self._by_id[contract.request_id] = request
