Refuse requests that come too late in a planned stop

Cause: a request whose head was still arriving when the host stopped listening was passed on whenever it was complete, whatever time was left. The own interface refuses such requests; the relayed path did not. Change: once a host no longer listens it refuses with 503, not executed, and closes the connection, unless the request's deadline comes before the end. Refusals before routing close the connection, too.

--- a/buckthornhold/platform/ingress.py
+++ b/buckthornhold/platform/ingress.py
@@ -98,7 +98,10 @@
     async def _relay(self, request, received_at) -> web.StreamResponse:
         relay_request = await self._read(request, received_at)
         if isinstance(relay_request, reasons.Failure):
-            return self._refuse(request, relay_request, None)
+            response = self._refuse(request, relay_request, None)
+            if self._host.stopping:
+                response.force_close()
+            return response
         responder = CallerResponder(
             request, close_connection=self._host.stopping
         )
--- a/buckthornhold/relay_hosts.py
+++ b/buckthornhold/relay_hosts.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import math
 import time
 
 import aiohttp
@@ -77,6 +78,9 @@
         self._platform = platform
         self._incarnation = time.time_ns()
         self._stopping = False
+        self._listening = True
+        #: When a draining host ends, on the monotonic clock.
+        self._drain_ends_at = math.inf
         self._sessions: list[aiohttp.ClientSession] = []
         self.logger = logs.bind(host=config.host, zone=config.zone)
         self.counters = counters.Counters(
@@ -194,6 +198,13 @@
         """Whether the host is draining."""
         return self._stopping
 
+    def may_finish(self, deadline: float) -> bool:
+        """Tell whether a new request may be answered before the host ends.
+
+        Nearly all that come while the host still listens end in time.
+        """
+        return self._listening or deadline <= self._drain_ends_at
+
     async def on_first_start(self) -> None:
         """Create the parts that need the running event loop."""
         config = self._settings
@@ -288,18 +299,17 @@
     async def drain(self) -> None:
         """Announce the stop and complete the requests in flight."""
         self._stopping = True
-        started_at = time.monotonic()
         grace = self._settings.bounds.grace_seconds
+        self._drain_ends_at = time.monotonic() + grace - CLOSE_RESERVE_SECONDS
         self.logger.info(
             f"draining for up to {grace:g} s, "
             f"{self.admissions.in_flight} requests in flight"
         )
         await self.prober.announce_gone()
         await asyncio.sleep(min(DRAIN_DELAY_SECONDS, grace / 2))
+        self._listening = False
         await self.listeners.stop_listening()
-        remaining = (
-            grace - CLOSE_RESERVE_SECONDS - (time.monotonic() - started_at)
-        )
+        remaining = self._drain_ends_at - time.monotonic()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(max(0.0, remaining)):
                 await self.admissions.wait_idle()
--- a/buckthornhold/relay_requests.py
+++ b/buckthornhold/relay_requests.py
@@ -19,6 +19,8 @@
 USUAL_URGENCY = 5
 #: Retry-After of a host that has no configuration yet.
 NOT_READY_RETRY_SECONDS = 0.5
+#: Retry-After of a host that ends: other hosts serve the request at once.
+DRAINING_RETRY_SECONDS = 0.1
 #: Length of the digest that identifies requests with equal content.
 CONTENT_DIGEST_BYTES = 12
 
@@ -108,6 +110,17 @@
         """Return the admitted request, or a refusal if a limit is reached."""
         route = match.route
         workspace = match.workspace
+        seconds = route.timeout
+        if parameters.timeout_seconds is not None:
+            seconds = min(seconds, parameters.timeout_seconds)
+        deadline = parameters.received_at + seconds
+        if not self._host.may_finish(deadline):
+            return reasons.Failure(
+                reason=reasons.Reason.HOST_DRAINING,
+                step="admit",
+                detail="the host ends before the request's deadline",
+                retry_after=DRAINING_RETRY_SECONDS,
+            )
         service = route.choose_service()
         workload = make_workload(parameters)
         units = self._compute_units(workspace, parameters)
@@ -127,15 +140,12 @@
         urgency = route.urgency
         if workspace is not None and workspace.urgency is not None:
             urgency = workspace.urgency
-        seconds = route.timeout
-        if parameters.timeout_seconds is not None:
-            seconds = min(seconds, parameters.timeout_seconds)
         return relay_messages.RelayRequest(
             contract=request_contracts.RequestContract(
                 request_id=parameters.request_id,
                 workspace=workspace.name if workspace else "",
                 route=route.name,
-                deadline=parameters.received_at + seconds,
+                deadline=deadline,
                 priority=urgency,
                 idempotent=route.repeatable,
                 prompt_tokens=parameters.prompt_tokens or 0,
