Take a reset body without a length for no whole answer

What callers saw (own interface): a plain service's answer without a length that was reset half way reached the caller as a complete 200. Cause: such a body ends with its connection, and aiohttp takes a reset for that end. The relayed path checked for it, the own interface did not. Change: one check in bodies, used by both.

--- a/buckthornhold/platform/upstream_clients.py
+++ b/buckthornhold/platform/upstream_clients.py
@@ -77,15 +77,10 @@
         self._peer = peer
         self._budget = budget
         self._event_body = bodies.Body(budget=budget, limit=MAX_EVENT_BYTES)
-        # The response drops its connection at the end of the body.
-        self._protocol = response.connection and response.connection.protocol
+        self._end = bodies.BodyEnd(response)
         self._buffer = b""
         self._complete = False
-        fields = response.headers
-        self._has_length = (
-            "Content-Length" in fields or "Transfer-Encoding" in fields
-        )
-        self.headers = http_headers.filter_response_headers(fields)
+        self.headers = http_headers.filter_response_headers(response.headers)
 
     @property
     def status(self) -> int:
@@ -106,9 +101,11 @@
             body = await bodies.read_body(
                 self._response.content, budget=self._budget
             )
+            self._end.check()
         except (aiohttp.ClientError, OSError) as error:
             return self._fail(repr(error))
-        return self._check_complete() or body
+        self._complete = True
+        return body
 
     async def read_event(
         self,
@@ -126,13 +123,13 @@
                 chunk = await self._response.content.readany()
                 self._buffer += chunk
                 self._event_body.resize(len(self._buffer))
+                if not chunk:
+                    self._end.check()
             except (aiohttp.ClientError, OSError) as error:
                 return self._fail(repr(error))
             if chunk:
                 continue
-            failure = self._check_complete()
-            if failure is not None:
-                return failure
+            self._complete = True
             if self._buffer:
                 return self._fail("the stream ended within an event")
             return None
@@ -145,21 +142,6 @@
         else:
             self._response.close()
 
-    def _check_complete(self) -> reasons.Failure | None:
-        """Return a failure if a body that ended is incomplete.
-
-        A body without a length ends with its connection; aiohttp takes a
-        reset for such an end, too.
-        """
-        if not self._has_length and self._protocol is not None:
-            error = self._protocol.exception()
-            if isinstance(error, aiohttp.ClientOSError):
-                return self._fail(
-                    "connection reset in a body without a length"
-                )
-        self._complete = True
-        return None
-
     def _fail(self, detail: str) -> reasons.Failure:
         return reasons.Failure(
             reason=reasons.Reason.UPSTREAM_BROKEN,
--- a/buckthornhold/services.py
+++ b/buckthornhold/services.py
@@ -106,9 +106,11 @@
                     total=timeout, sock_connect=self._connect_timeout
                 ),
             ) as response:
+                end = bodies.BodyEnd(response)
                 body = await bodies.read_body(
                     response.content, budget=self._budget
                 )
+                end.check()
         except (
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
--- a/buckthornhold/standins/users_platforms.py
+++ b/buckthornhold/standins/users_platforms.py
@@ -213,7 +213,8 @@
     """A worker of a plain service or of streams.
 
     ``script`` holds how the next requests end: a status, or ``not_run``,
-    ``lost``, ``cut``, ``unframed``, ``reset_unframed``, ``extra``,
+    ``lost``, ``cut``, ``half_head``, ``unframed``, ``cut_unframed`` for one
+    that ends within its last event, ``reset_unframed``, ``extra``,
     ``crossed``, ``mute``, ``slow`` for a stream of long pauses, ``trickle``
     for a byte now and then without end; without an entry they are served. With
     ``crossed_refusal`` the request runs and is answered with a refusal of
@@ -258,12 +259,14 @@
             "Attempt-Id": "another" if word == "crossed" else request_id,
             SEAL: f"seal-of-{self.name}",
         }
+        if word == "half_head":
+            return await self._send_raw(request, make_head(fields)[:-9])
+        if word.endswith("unframed") or word == "cut_unframed":
+            return await self._answer_unframed(request, word, fields)
         if self.events and word.isalpha() or self.events and word == "200":
             return await self._stream(request, word, fields)
         if word == "trickle":
             return await self._send_slowly(request, fields)
-        if word in ("unframed", "reset_unframed"):
-            return await self._answer_unframed(request, word, fields)
         status = int(word) if word.isdecimal() else 200
         text = f"{self.name} {request_id}"
         if word == "cut":
@@ -301,16 +304,31 @@
             )
 
     async def _answer_unframed(self, request, word, fields):
-        head = "HTTP/1.1 200 OK\r\n" + "".join(
-            f"{name}: {value}\r\n" for name, value in fields.items()
+        """Send a body, or a stream, that ends with its connection."""
+        text = "unframed"
+        if self.events:
+            fields = {**fields, "Content-Type": "text/event-stream"}
+            first = int(request.headers.get("Last-Event-Id", 0)) + 1
+            text = "".join(
+                f"id: {number}\ndata: x\n\n"
+                for number in range(first, self.events + 1)
+            )
+        if word == "cut_unframed":
+            text = text[:-3]
+        await self._send_raw(
+            request,
+            f"{make_head(fields)}{text}",
+            reset_after=word == "reset_unframed",
         )
-        text = f"{head}Connection: close\r\n\r\nunframed"
+
+    async def _send_raw(self, request, text, *, reset_after=False):
+        """Send bytes past the library, then close or reset."""
         request.transport.write(text.encode())
         await asyncio.sleep(0.05)
-        if word == "unframed":
-            request.transport.close()
-        else:
+        if reset_after:
             reset(request.transport)
+        else:
+            request.transport.close()
         raise ConnectionResetError("the answer was sent already")
 
     async def _send_slowly(self, request, fields):
@@ -354,6 +372,12 @@
             await asyncio.sleep(TRICKLE_INTERVAL_SECONDS)
 
 
+def make_head(fields: dict[str, str]) -> str:
+    """Return the head of an answer that ends with its connection."""
+    lines = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
+    return f"HTTP/1.1 200 OK\r\n{lines}Connection: close\r\n\r\n"
+
+
 def make_refusal(request_id: str) -> web.Response:
     """Return a worker's statement that it did not run a request."""
     return web.Response(
--- a/features/relays/platform.feature
+++ b/features/relays/platform.feature
@@ -22,11 +22,20 @@
       | /pay/ | crossed        | 502    |
       | /pay/ | unframed       | 200    |
       | /pay/ | reset_unframed | 502    |
+      | /pay/ | half_head      | 502    |
+      | /look/ | half_head     | 502    |
       | /pay/ | not_run        | 503    |
       | /ask/ | 200            | whole  |
       | /ask/ | cut            | whole  |
       | /chat/ | cut           | broken |
       | /chat/ | lost          | 502    |
+      | /chat/ | half_head     | 502    |
+      | /chat/ | unframed      | whole  |
+      | /chat/ | cut_unframed  | broken |
+      | /chat/ | reset_unframed | broken |
+      | /ask/ | half_head      | 502    |
+      | /ask/ | unframed       | whole  |
+      | /ask/ | cut_unframed   | broken |
 
   # Guards against cutting a slow stream that is sound, and against waiting
   # without end for a response of which a byte arrives now and then.
--- a/features/steps/engine_answers_steps.py
+++ b/features/steps/engine_answers_steps.py
@@ -13,17 +13,32 @@
 from buckthornhold import engines
 from buckthornhold import http_engines
 from buckthornhold import reasons
+from buckthornhold.standins import users_platforms
 
 REQUEST_ID = "cut-1"
 ATTEMPT = "cut-1/0"
 WAIT_SECONDS = 10.0
+#: Time in which a client has read what was sent before a reset.
+RESET_PAUSE_SECONDS = 0.05
 OK = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+#: Answers behind which the engine closes the connection.
+CLOSED_ANSWERS = (
+    "close",
+    "early close",
+    "no head",
+    "half head",
+    "long head",
+    "cut event",
+)
 
 
 class RawEngine:
     """Answers each request with the same bytes, piece by piece."""
 
-    def __init__(self, *, answer: bytes, size: int, closes: bool) -> None:
+    def __init__(
+        self, *, answer: bytes, size: int, closes: bool, resets: bool = False
+    ) -> None:
+        self._resets = resets
         self._answer = answer
         self._size = size
         self._closes = closes
@@ -51,6 +66,9 @@
                 length = head.lower().partition(b"content-length: ")[2]
                 await reader.readexactly(int(length.split(b"\r\n")[0]))
                 await self._send(writer)
+                if self._resets:
+                    await asyncio.sleep(RESET_PAUSE_SECONDS)
+                    users_platforms.reset(writer.transport)
                 if self._closes:
                     break
         writer.close()
@@ -132,6 +150,8 @@
         "long chunk": coded + chunks[:-2] + b"xx0\r\n\r\n",
         "early close": coded + chunks[:-20],
         "no head": b"",
+        "half head": OK[:-9].encode(),
+        "cut event": f"{OK}\r\n".encode() + body[:-1],
         "not http": b"SSH-2.0-x\r\n\r\n",
         "long head": OK.encode() + b"X-A: " + b"a" * (1 << 17),
         "bad length": f"{OK}Content-Length: -1\r\n\r\n".encode(),
@@ -145,7 +165,7 @@
     " {size:d}"
 )
 def prepare_engine(context, count, framing, size):
-    closes = framing in ("close", "early close", "no head", "long head")
+    closes = framing in CLOSED_ANSWERS
     context.answer = write_answer(framing, count)
     context.raw_engine = RawEngine(
         answer=context.answer, size=size, closes=closes
--- a/features/streams/engine_answers.feature
+++ b/features/streams/engine_answers.feature
@@ -31,6 +31,8 @@
       | long chunk   | upstream_broken  | unknown |
       | early close  | upstream_broken  | yes     |
       | no head      | upstream_broken  | unknown |
+      | half head    | upstream_broken  | unknown |
+      | cut event    | upstream_broken  | yes     |
       | not http     | upstream_broken  | unknown |
       | long head    | upstream_broken  | unknown |
       | bad length   | upstream_broken  | unknown |
