Count no upstreams that the end of a move removes

What callers saw: in calm, for four seconds after a good move, three of four requests failed or were refused. Cause: the sizing counted the former version's upstreams as staying in the moment in which the move's end removes them, and gave back as many; the platform let the new version's go. Change: they don't count from the move's end on, and nothing is ordered while they are still listed, for up to 2 s. The line on a listed upstream names its version.

--- a/buckthornhold/coordination/version_moves.py
+++ b/buckthornhold/coordination/version_moves.py
@@ -88,6 +88,11 @@
     state: State = State.TRIAL
     reason: str = ""
 
+    @property
+    def is_final(self) -> bool:
+        """Whether the move has ended."""
+        return self.state in FINAL_STATES
+
     @property
     def deadline(self) -> float:
         """Deadline of the move, in seconds since the epoch."""
@@ -119,6 +124,18 @@
         done = self.state is State.DONE
         return done and now >= self.deadline + DONE_RETENTION_SECONDS
 
+    def removes(self, version: str, now: float) -> bool:
+        """Tell whether the end of the move removes a version's upstreams.
+
+        A done move removes all but the new version's, one that was taken back
+        the new version's. Before its end it isn't known which will go.
+        """
+        if now >= self.deadline + DONE_RETENTION_SECONDS:
+            return False
+        if self.state is State.DONE:
+            return version != self.order.version
+        return self.state is State.TAKEN_BACK and version == self.order.version
+
     def replace(self, **changes) -> "Progress":
         """Return the progress with some fields changed."""
         return dataclasses.replace(self, **changes)
--- a/buckthornhold/fleet_orders.py
+++ b/buckthornhold/fleet_orders.py
@@ -54,6 +54,11 @@
             demand=demand,
             records=records,
             moving=self._host.moves.is_moving(service.name),
+            removed=[
+                it
+                for it in records
+                if self._host.moves.removes(service.name, it.version)
+            ],
         )
         for order in orders:
             if not self._host.duty.held:
--- a/buckthornhold/fleet_sizes.py
+++ b/buckthornhold/fleet_sizes.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+from collections.abc import Collection
 from collections.abc import Iterable
 import dataclasses
 import itertools
@@ -44,6 +45,9 @@
 #: Part of the demand's upstreams that can't be reclaimed: reclaims come in
 #: waves faster than others start.
 RESERVE_SHARE = 0.3
+#: How long the end of a move takes to remove upstreams, in seconds. Those that
+#: are listed longer may only be unknown to be gone.
+REMOVAL_SECONDS = 2.0
 #: How long an offer that was refused is passed over, in seconds.
 REFUSED_SECONDS = 3.0
 
@@ -132,6 +136,7 @@
         self._names: dict[Place, set[str]] = {}
         self._asked_since: float | None = None
         self._first_count = 0
+        self._removing_since: float | None = None
 
     @property
     def learned(self) -> bool:
@@ -163,15 +168,17 @@
         records: Iterable[upstream_directories.UpstreamRecord],
         least_load: float = ENGINE_SHARE,
         moving: bool = False,
+        removed: Collection[upstream_directories.UpstreamRecord] = (),
     ) -> list[Order]:
         """Return the orders to give now, those for more before all others.
 
         ``demand`` is in engine seconds a second; ``records`` are the
         service's upstreams that are listed. While the service is ``moving``
         to another version nothing is given back: the upstreams of one of
-        the two serve little, and it is not said which would go.
+        the two serve little, and it is not said which would go. ``removed``
+        are those among the records that the end of a move removes.
         """
-        records = list(records)
+        records = [record for record in records if record not in removed]
         self._names = list_staying(records)
         ready = {place: len(names) for place, names in self._names.items()}
         held = self._count_held(ready, offer)
@@ -215,12 +222,29 @@
             for (zone, kind), count in wanted.items()
             if count > held.get((zone, kind), 0)
         ]
+        if self._is_removing(removed):
+            return []
         if orders:
             return orders
         if moving or len(offers) < len(list_offers(offer)):
             return []
         return self._plan_less(ready, wanted, need, offer)
 
+    def _is_removing(
+        self, removed: Collection[upstream_directories.UpstreamRecord]
+    ) -> bool:
+        """Tell whether an order could still count upstreams that go.
+
+        The platform counts all that run in a place, and chooses which of
+        them stays.
+        """
+        if not removed:
+            self._removing_since = None
+            return False
+        if self._removing_since is None:
+            self._removing_since = self._clock()
+        return self._clock() - self._removing_since < REMOVAL_SECONDS
+
     def _is_in_wave(
         self, records: Iterable[upstream_directories.UpstreamRecord]
     ) -> bool:
--- a/buckthornhold/relay_moves.py
+++ b/buckthornhold/relay_moves.py
@@ -120,10 +120,14 @@
         if order is None:
             return False
         progress = self._find_progress(order)
-        return (
-            progress is None
-            or progress.state not in version_moves.FINAL_STATES
-        )
+        return progress is None or not progress.is_final
+
+    def removes(self, service: str, version: str) -> bool:
+        """Tell whether a move's end removes a version's upstreams."""
+        order = self._orders.get(service)
+        progress = order and self._find_progress(order)
+        now = self._host.summaries.read_time_of_day()
+        return progress is not None and progress.removes(version, now)
 
     def choose(
         self,
@@ -235,7 +239,7 @@
                 initial = version_moves.Progress(order=order, begun=now)
                 await self._commit(initial)
             return
-        if progress.state in version_moves.FINAL_STATES:
+        if progress.is_final:
             if self._host.duty.held:
                 await self._publish_status(progress)
             return
@@ -371,7 +375,7 @@
         active_moves = {
             version_moves.make_move_id(progress.order)
             for progress in self._states.values()
-            if progress.state not in version_moves.FINAL_STATES
+            if not progress.is_final
         }
         for series in list(self._tallies):
             if series.move not in active_moves:
--- a/buckthornhold/upstream_directories.py
+++ b/buckthornhold/upstream_directories.py
@@ -272,7 +272,8 @@
         else:
             return
         logger.info(
-            f"{record.service} in {record.zone} {what}, revision {revision}"
+            f"{record.service} in {record.zone} {what}, version "
+            f"{record.version}, revision {revision}"
         )
 
     def _schedule_removal(self, name: str, entry: _Entry) -> None:
--- a/features/relays/fleet_sizes.feature
+++ b/features/relays/fleet_sizes.feature
@@ -80,6 +80,25 @@
     And sizes: the demand is 2.5 engines for 30 seconds
     Then sizes: there are at most 3 on-demand upstreams
 
+  # Guards against releasing the upstreams that stay, as those that the end of a
+  # move removes still count.
+  Scenario Outline: A move is <outcome>, and the former demand goes on
+    Given sizes: 3 zones with 3 on-demand upstreams each
+    When sizes: the demand is 3 engines for 30 seconds
+    And sizes: a move adds 2 upstreams to each zone
+    And sizes: the demand is 3 engines for <seconds> seconds
+    And sizes: the move is <outcome>
+    And sizes: the demand is 3 engines for 12 seconds
+    Then sizes: there was always enough capacity
+    When sizes: the demand is 3 engines for 30 seconds
+    Then sizes: there are at most 3 on-demand upstreams
+
+    Examples:
+      | outcome    | seconds |
+      | done       | 20      |
+      | done       | 4       |
+      | taken back | 10      |
+
   # The load of long responses: prompts are short, and streams occupy slots for
   # seconds.
   Scenario Outline: Long responses need a slot each
--- a/features/steps/relay_sizes_steps.py
+++ b/features/steps/relay_sizes_steps.py
@@ -11,6 +11,8 @@
 START_SECONDS = 4.0
 NOTICE_SECONDS = 2.0
 TICK_SECONDS = 0.25
+#: Time until a move's end has removed upstreams.
+REMOVAL_SECONDS = 0.75
 #: Share of its time that an engine may be busy and still respond in time.
 MAX_BUSY_SHARE = 0.8
 MAX_ZONE_UPSTREAMS = 6
@@ -32,6 +34,8 @@
         self.no_capacity_until = -1.0
         self.overload_ticks = 0
         self.rollout_running = False
+        #: Upstreams that the end of a move removes, and when.
+        self.removed = {}
         self.offer = routes.Offer(
             least=1,
             most=MAX_ZONE_UPSTREAMS,
@@ -46,7 +50,7 @@
             for _ in range(on_demand):
                 self.add(zone, fleet_sizes.ON_DEMAND)
 
-    def add(self, zone, kind):
+    def add(self, zone, kind, version="v1"):
         self.number += 1
         name = f"{zone}-{self.number}"
         self.records[name] = upstream_directories.UpstreamRecord(
@@ -54,6 +58,7 @@
             service="llm",
             address="",
             zone=zone,
+            version=version,
             reclaimable=kind == fleet_sizes.RECLAIMABLE,
         )
 
@@ -96,13 +101,30 @@
                 demand=demand,
                 records=self.records.values(),
                 moving=self.rollout_running,
+                removed=[
+                    record
+                    for name, record in self.records.items()
+                    if name in self.removed
+                ],
             ):
                 self.apply_order(order)
             if len(self.records) * MAX_BUSY_SHARE < demand:
                 self.overload_ticks += 1
                 print(f"{self.now:.2f}: {len(self.records)} for {demand}")
 
+    def end_move(self, version, seconds):
+        """End a move; the upstreams of a version are removed soon after."""
+        self.rollout_running = False
+        for name, record in self.records.items():
+            if record.version == version:
+                self.removed[name] = self.now + seconds
+
     def advance(self):
+        for name, end in list(self.removed.items()):
+            if end <= self.now:
+                del self.removed[name]
+                self.records.pop(name, None)
+                self.end_times.pop(name, None)
         for name, end in list(self.end_times.items()):
             if end <= self.now:
                 del self.records[name]
@@ -133,7 +155,8 @@
             self.starting.append(
                 (self.now + START_SECONDS, order.zone, order.kind)
             )
-        for record in staying[: max(0, -missing)]:
+        # The newest are released, which a move has added.
+        for record in staying[::-1][: max(0, -missing)]:
             self.leave(record, NOTICE_SECONDS)
 
 
@@ -227,6 +250,20 @@
     context.cloud.rollout_running = False
 
 
+@behave.when("sizes: a move adds {count:d} upstreams to each zone")
+def begin_move(context, count):
+    context.cloud.rollout_running = True
+    for zone in ZONES:
+        for _ in range(count):
+            context.cloud.add(zone, fleet_sizes.ON_DEMAND, version="v2")
+
+
+@behave.when("sizes: the move is {outcome}")
+def end_move(context, outcome):
+    removed = {"done": "v1", "taken back": "v2"}[outcome]
+    context.cloud.end_move(removed, REMOVAL_SECONDS)
+
+
 @behave.then("sizes: none was released")
 def check_none_released(context):
     found = len(context.cloud.list_staying())
