Keep to what upstreams say of themselves in their answers

Cause: the decision stood on the own interface alone, and read there neither fractions of seconds nor bounded a time. Change: backoffs holds it for both, without a network: leaving from any answer, no request until the named time is over, hosts return one after the other and by steps. If every upstream leaves or wants nothing, a request is refused at once with the soonest end.

--- a/buckthornhold/attempt_plans.py
+++ b/buckthornhold/attempt_plans.py
@@ -172,8 +172,9 @@
             0.5 if silent or failure.ran is reasons.Ran.NO else 1
         )
         if failure.retry_after is not None:
-            key = attempt.upstream.key
-            self._host.retry_budget.pause_upstream(key, failure.retry_after)
+            self._host.backoffs.begin(
+                attempt.upstream.key, failure.retry_after
+            )
         if failure.reason is reasons.Reason.ANSWER_CROSSED:
             self._host.counters.count_event("answers.late_dropped")
         final = None
@@ -255,9 +256,7 @@
 
     def _list_candidates(self, rule: rules.ServeRule) -> pools.Pool:
         candidates = self._host.upstreams.list_engines_for_rule(rule)
-        candidates = candidates.exclude(
-            self._host.retry_budget.list_paused_upstreams()
-        )
+        candidates = candidates.exclude(self._host.backoffs.list_active())
         untried = candidates.exclude(self._tried)
         return self._host.quarantines.filter_candidates(
             self._contract, untried or candidates
@@ -271,7 +270,7 @@
         It may be retried when the first pause of an upstream ends.
         """
         allowed = self._host.upstreams.list_engines_for_rule(rule)
-        wait = self._host.retry_budget.find_pause_left(
+        wait = self._host.backoffs.find_wait(
             upstream.key for upstream in allowed
         )
         failure = self._make_failure(
--- a/buckthornhold/calls.py
+++ b/buckthornhold/calls.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from buckthornhold import attempts
+from buckthornhold import backoffs
 from buckthornhold import claimed_calls
 from buckthornhold import headers
 from buckthornhold import reasons
@@ -84,7 +85,7 @@
                 self._host.retry_budget.record_success()
                 return result
             if failure.retry_after is not None:
-                self._host.retry_budget.pause_upstream(
+                self._host.backoffs.begin(
                     attempt.upstream.key, failure.retry_after
                 )
             tried.add(attempt.upstream.key)
@@ -144,11 +145,10 @@
 
     def _list_candidates(self, service, tried):
         """Return upstreams that may be sent to, untried ones if any."""
-        paused = self._host.retry_budget.list_paused_upstreams()
         candidates = [
             upstream
             for upstream in self._host.upstreams.list_services(service)
-            if upstream.key not in paused
+            if self._host.backoffs.admits(upstream.key, upstream.in_flight)
         ]
         fresh = [it for it in candidates if it.key not in tried]
         return fresh or candidates
@@ -165,7 +165,7 @@
     def _find_wait(self, service) -> float:
         """Return when the next upstream of a service may be tried."""
         found = self._host.upstreams.list_services(service)
-        wait = self._host.retry_budget.find_pause_left(it.key for it in found)
+        wait = self._host.backoffs.find_wait(it.key for it in found)
         return max(self._host.settings.retry_after, wait)
 
     async def _send(self, attempt, call):
@@ -197,7 +197,7 @@
         step="service",
         ran=reasons.Ran.UNKNOWN,
         detail=f"status {result.status}",
-        retry_after=services.read_retry_after(result.retry_after),
+        retry_after=backoffs.parse_retry_after(result.retry_after),
     )
 
 
--- a/buckthornhold/counters.py
+++ b/buckthornhold/counters.py
@@ -62,6 +62,8 @@
     "moves.done",
     "moves.taken_back",
     "moves.rechecked",
+    "upstreams.announced_leaving",
+    "upstreams.backed_off",
     "upstreams.crashed",
     "upstreams.silent",
     "versions.withdrawn",
--- a/buckthornhold/daemons.py
+++ b/buckthornhold/daemons.py
@@ -10,6 +10,7 @@
 from buckthornhold import admission_policies
 from buckthornhold import admissions
 from buckthornhold import answers
+from buckthornhold import backoffs
 from buckthornhold import bootstraps
 from buckthornhold import calls
 from buckthornhold import carriers
@@ -121,6 +122,9 @@
         )
         self.transfers = transfers.Transfers(host=self, config=config)
         self.retentions = retentions.Retentions(host=self)
+        self.backoffs = backoffs.Backoffs(
+            count_hosts=lambda: self.members.count_all() + 1
+        )
         self.retry_budget = retry_budgets.RetryBudget(
             share=config.retry_share, reserve=config.retry_reserve
         )
--- a/buckthornhold/http_engines.py
+++ b/buckthornhold/http_engines.py
@@ -1,12 +1,14 @@
 """HTTP client of model engines that stream server-sent events."""
 
 import asyncio
+from collections.abc import Callable
 import contextlib
 import dataclasses
 import json
 
 import aiohttp
 
+from buckthornhold import backoffs
 from buckthornhold import bodies
 from buckthornhold import clients
 from buckthornhold import engine_events
@@ -19,7 +21,10 @@
 
 
 class HttpModelEngine(engines.ModelEngine):
-    """Client of one engine; never sends a request again by itself."""
+    """Client of one engine; never sends a request again by itself.
+
+    ``announce`` is called with what the engine says of itself.
+    """
 
     def __init__(
         self,
@@ -28,7 +33,9 @@
         address: str,
         timeout: float,
         budget: bodies.Budget,
+        announce: Callable[[backoffs.Announcement], None] = backoffs.ignore,
     ) -> None:
+        self._announce = announce
         self._session = session
         self._address = address
         self._timeout = timeout
@@ -107,6 +114,7 @@
             async with self._session.post(
                 f"http://{self._address}{path}", json=body, timeout=limits
             ) as response:
+                self._announce(backoffs.read_announcement(response.headers))
                 if response.status != 200:
                     return self._describe_refusal(
                         response.status,
@@ -158,6 +166,7 @@
                 read_bufsize=engine_events.EVENT_LIMIT_BYTES,
             ) as response:
                 started = True
+                self._announce(backoffs.read_announcement(response.headers))
                 if response.status != 200:
                     return self._describe_refusal(
                         response.status,
@@ -227,9 +236,7 @@
             ran = reasons.Ran.NO
         if status == 503 and _find_detail(text) == LEAVING:
             reason = reasons.Reason.UPSTREAM_LEAVING
-        seconds = None
-        with contextlib.suppress(TypeError, ValueError):
-            seconds = float(retry_after)
+        seconds = backoffs.parse_retry_after(retry_after, peer=self._address)
         return self._fail(reason, text, ran, seconds)
 
     def _fail(
--- a/buckthornhold/platform/http_headers.py
+++ b/buckthornhold/platform/http_headers.py
@@ -12,6 +12,9 @@
 EXPECTED_INSTANCE = "Expect-Instance"
 #: Present, with any value, if the upstream did not run the request.
 NOT_EXECUTED = "Not-Executed"
+#: Present, with any value but 0, in all answers of an upstream that leaves.
+LEAVING = "Server-Leaving"
+RETRY_AFTER = "Retry-After"
 #: Prompt tokens and maximum of output tokens, separated by a comma.
 TOKEN_COUNTS = "Token-Counts"
 #: The caller's estimate of the output's length.
--- a/buckthornhold/platform/upstream_clients.py
+++ b/buckthornhold/platform/upstream_clients.py
@@ -1,12 +1,15 @@
 """Upstream clients: requests to upstreams on the platform's wire."""
 
 import asyncio
+import dataclasses
+import http
 
 import aiohttp
 import loguru
 import multidict
 import yarl
 
+from buckthornhold import backoffs
 from buckthornhold import bodies
 from buckthornhold import clients
 from buckthornhold import reasons
@@ -242,6 +245,7 @@
 
     def _check_head(self, response, request, upstream):
         """Return the response, or a failure if it isn't this request's."""
+        upstream.record_announcement(_read_announcement(response, upstream))
         request_id = request.contract.request_id
         if response.headers.get(http_headers.REQUEST_ID) != request_id:
             # A refusal of another request says nothing about this one.
@@ -278,6 +282,23 @@
     )
 
 
+def _read_announcement(response, upstream) -> backoffs.Announcement:
+    """Return what the head of an answer says of its upstream.
+
+    Another process that answers at the same address speaks of itself.
+    """
+    if response.status == http.HTTPStatus.MISDIRECTED_REQUEST:
+        return backoffs.Announcement()
+    fields = response.headers
+    announcement = backoffs.read_announcement(fields, http_headers.LEAVING)
+    if response.status == http.HTTPStatus.SERVICE_UNAVAILABLE:
+        retry_after = backoffs.parse_retry_after(
+            fields.get(http_headers.RETRY_AFTER), peer=upstream.name
+        )
+        return dataclasses.replace(announcement, retry_after=retry_after)
+    return announcement
+
+
 def _parse_event_id(data: bytes) -> str:
     """Return the id of an event, empty if it has none."""
     for line in data.split(b"\n"):
--- a/buckthornhold/relay_hosts.py
+++ b/buckthornhold/relay_hosts.py
@@ -138,12 +138,12 @@
             return_seconds=config.bounds.entry_return_seconds,
             logger=self.logger,
             notify=self._handle_directory_change,
-            count_hosts=self._count_hosts,
+            count_hosts=self.count_hosts,
         )
         self.upstreams = relay_upstreams.RelayUpstreams(host=self)
         self.quotas = quotas.Quotas(
             window_seconds=config.bounds.limit_window,
-            count_hosts=self._count_hosts,
+            count_hosts=self.count_hosts,
             read_limit_share=self._compute_limit_share,
         )
         self.usage = usages.UsageCounter(
@@ -358,7 +358,8 @@
             summary.uses.add(workspace=workspace, units=units)
         summary.demands.update(self.demands.read())
 
-    def _count_hosts(self) -> int:
+    def count_hosts(self) -> int:
+        """Return how many hosts the fleet has, this one included."""
         return self.members.count_all() + 1
 
     def _compute_limit_share(self) -> float:
--- a/buckthornhold/relay_selectors.py
+++ b/buckthornhold/relay_selectors.py
@@ -117,6 +117,14 @@
             if untried:
                 self.series = choice.series
                 return self._choose(untried)
+            wait = self._host.upstreams.find_backoff_wait(
+                self._request.service
+            )
+            if wait and not candidates:
+                return _fail(
+                    "every upstream is leaving or wants no requests",
+                    retry_after=wait,
+                )
             if candidates and self._tried:
                 self._tried.clear()
                 await asyncio.sleep(REFUSED_RETRY_PAUSE_SECONDS)
--- a/buckthornhold/relay_upstreams.py
+++ b/buckthornhold/relay_upstreams.py
@@ -1,9 +1,11 @@
 """Relay upstreams: load, recent outcomes and silence of each upstream."""
 
+from collections.abc import Callable
 import dataclasses
 import math
 import time
 
+from buckthornhold import backoffs
 from buckthornhold import upstream_directories
 from buckthornhold.coordination import pause_detectors
 from buckthornhold.peers import summaries_pb2
@@ -23,6 +25,9 @@
 #: How long a silent upstream is excluded after a request was abandoned there.
 #: Cuts last for seconds, and each further attempt costs a client its deadline.
 SILENCE_PAUSE_SECONDS = 2.0
+#: Retry-After while no upstream wants requests and none says until when: about
+#: the time in which others are listed.
+REPLACEMENT_WAIT_SECONDS = 0.5
 #: Least time between two summaries that are sent because of a load.
 MIN_ANNOUNCE_INTERVAL_SECONDS = 0.1
 
@@ -54,11 +59,18 @@
     """One process of an upstream, as this host observes it.
 
     ``in_flight`` counts this host's requests there; ``waiting_tokens`` sums
-    the prompt tokens of those that have had no event yet.
+    the prompt tokens of those that have had no event yet. ``notify`` is called
+    with what the upstream announces of itself.
     """
 
-    def __init__(self, *, record: upstream_directories.UpstreamRecord) -> None:
+    def __init__(
+        self,
+        *,
+        record: upstream_directories.UpstreamRecord,
+        notify: Callable = lambda upstream, announcement: None,
+    ) -> None:
         self.record = record
+        self._notify = notify
         self.in_flight = 0
         self.waiting_tokens = 0
         self.leaving = record.leaving
@@ -88,6 +100,11 @@
         """Requests in flight there, of all hosts with a recent summary."""
         return self.in_flight + self._remote_in_flight
 
+    def record_announcement(self, announcement: backoffs.Announcement) -> None:
+        """Record what an answer says of its upstream."""
+        if announcement.leaving or announcement.retry_after is not None:
+            self._notify(self, announcement)
+
     def set_remote_load(
         self, requests: int, waiting: list[tuple[int, float]]
     ) -> None:
@@ -169,6 +186,9 @@
         self._leaving_names: dict[str, float] = {}
         self._totals: dict[tuple[str, int, str], tuple[int, int]] = {}
         self._announced_at = -math.inf
+        self._backoffs = backoffs.Backoffs(
+            count_hosts=lambda: self._host.count_hosts()
+        )
         host.summaries.add_source(self._fill_summary)
 
     def list_all(self) -> list[RelayUpstream]:
@@ -178,14 +198,17 @@
     def list_service(self, service: str) -> list[RelayUpstream]:
         """Return the upstreams of a service that may receive requests.
 
-        Silent and failing ones are excluded unless none would be left.
+        Silent and failing ones are excluded unless none would be left, those
+        that want no requests in any case.
         """
         self.refresh()
         now = time.monotonic()
         active = [
             upstream
             for upstream in self._upstreams.values()
-            if upstream.record.service == service and not upstream.leaving
+            if upstream.record.service == service
+            and not upstream.leaving
+            and self._backoffs.admits(upstream.key, upstream.in_flight)
         ]
         healthy = [
             upstream
@@ -209,6 +232,26 @@
             default=0.0,
         )
 
+    def find_backoff_wait(self, service: str) -> float:
+        """Return the seconds until an upstream of the service wants requests.
+
+        0 unless upstreams are known and every one is leaving or has asked for
+        no more requests.
+        """
+        known = [
+            upstream
+            for upstream in self._upstreams.values()
+            if upstream.record.service == service
+        ]
+        staying = [upstream for upstream in known if not upstream.leaving]
+        if not known or any(
+            self._backoffs.admits(upstream.key, upstream.in_flight)
+            for upstream in staying
+        ):
+            return 0.0
+        wait = self._backoffs.find_wait(upstream.key for upstream in staying)
+        return wait or REPLACEMENT_WAIT_SECONDS
+
     def refresh(self) -> None:
         """Update the upstreams from the directory's records."""
         listed = set()
@@ -216,7 +259,9 @@
             listed.add(record.key)
             upstream = self._upstreams.get(record.key)
             if upstream is None:
-                upstream = RelayUpstream(record=record)
+                upstream = RelayUpstream(
+                    record=record, notify=self._take_announcement
+                )
                 self._upstreams[record.key] = upstream
             if record.leaving:
                 self._mark_leaving(upstream)
@@ -280,6 +325,22 @@
                 requests.get(upstream.name, 0), waiting.get(upstream.name, [])
             )
 
+    def _take_announcement(
+        self, upstream: RelayUpstream, announcement: backoffs.Announcement
+    ) -> None:
+        """Keep to what an upstream says of itself from now on."""
+        if announcement.leaving and not upstream.leaving:
+            self._host.counters.count_event("upstreams.announced_leaving")
+            self._mark_leaving(upstream)
+        seconds = announcement.retry_after
+        if seconds is None:
+            return
+        self._host.counters.count_event("upstreams.backed_off")
+        self._backoffs.begin(upstream.key, seconds)
+        self._host.logger.bind(step="backoff", peer=upstream.name).info(
+            f"asked for no requests for {seconds:.2f} s"
+        )
+
     def _mark_leaving(self, upstream: RelayUpstream) -> None:
         """Stop sending to an upstream and publish that it is leaving."""
         if upstream.leaving:
--- a/buckthornhold/retry_budgets.py
+++ b/buckthornhold/retry_budgets.py
@@ -1,8 +1,6 @@
 """Retry budgets, which limit the retries of failed attempts."""
 
-from collections.abc import Iterable
 import random
-import time
 
 from buckthornhold import reasons
 
@@ -20,8 +18,7 @@
     the bucket holds ``reserve`` tokens. So retries stay below that share of
     the successes when many requests fail at once, and a host that has just
     started can still retry a few. Entry hosts don't forward requests to each
-    other, so retries don't multiply. An upstream that asked for a pause with
-    Retry-After is paused for all requests.
+    other, so retries don't multiply.
 
     Usage::
 
@@ -36,7 +33,6 @@
         self._share = share
         self._reserve = reserve
         self._tokens = reserve
-        self._paused_until: dict[tuple[str, int], float] = {}
 
     @property
     def tokens(self) -> float:
@@ -47,27 +43,6 @@
         """Add a share of a token for a successful attempt."""
         self._tokens = min(self._reserve, self._tokens + self._share)
 
-    def pause_upstream(self, key: tuple[str, int], seconds: float) -> None:
-        """Pause an upstream for some seconds."""
-        paused = self.list_paused_upstreams()
-        self._paused_until = {
-            paused_key: self._paused_until[paused_key] for paused_key in paused
-        }
-        self._paused_until[key] = time.monotonic() + seconds
-
-    def list_paused_upstreams(self) -> set[tuple[str, int]]:
-        """Return the upstreams that are paused now."""
-        now = time.monotonic()
-        return {
-            key for key, until in self._paused_until.items() if until > now
-        }
-
-    def find_pause_left(self, keys: Iterable[tuple[str, int]]) -> float:
-        """Return the seconds until the first pause of some upstreams ends."""
-        now = time.monotonic()
-        waits = [self._paused_until.get(key, 0.0) - now for key in keys]
-        return max(0.0, min(waits, default=0.0))
-
     def acquire_retry(
         self,
         failure: reasons.Failure,
--- a/buckthornhold/services.py
+++ b/buckthornhold/services.py
@@ -1,13 +1,13 @@
 """Plain services: base class and HTTP client."""
 
 import abc
+from collections.abc import Callable
 import dataclasses
-import email.utils
-import time
 
 import aiohttp
 import yarl
 
+from buckthornhold import backoffs
 from buckthornhold import bodies
 from buckthornhold import clients
 from buckthornhold import reasons
@@ -67,6 +67,7 @@
     """Client of a plain service that is met over HTTP.
 
     The session must not repeat requests on its own; see ``clients``.
+    ``announce`` is called with what the service says of itself.
     """
 
     def __init__(
@@ -76,7 +77,9 @@
         address: str,
         connect_timeout: float,
         budget: bodies.Budget,
+        announce: Callable[[backoffs.Announcement], None] = backoffs.ignore,
     ) -> None:
+        self._announce = announce
         self._session = session
         self._address = address
         self._connect_timeout = connect_timeout
@@ -139,6 +142,7 @@
                 "answer belongs to another request",
                 reasons.Ran.UNKNOWN,
             )
+        self._announce(backoffs.read_announcement(response.headers))
         retry_after = response.headers.get("Retry-After", "")
         if response.headers.get(NOT_RUN_HEADER):
             failure = self._fail(
@@ -146,7 +150,9 @@
                 "the service says it did not run the call",
                 reasons.Ran.NO,
             )
-            return failure.replace(retry_after=read_retry_after(retry_after))
+            return failure.replace(
+                retry_after=backoffs.parse_retry_after(retry_after)
+            )
         return Answer(
             status=response.status,
             body=body,
@@ -172,16 +178,3 @@
             ran=ran,
             detail=detail,
         )
-
-
-def read_retry_after(text: str) -> float | None:
-    """Return a Retry-After header in seconds, or None without one."""
-    if not text:
-        return None
-    if text.isdecimal():
-        return float(text)
-    try:
-        moment = email.utils.parsedate_to_datetime(text)
-    except ValueError:
-        return None
-    return max(0.0, moment.timestamp() - time.time())
--- a/buckthornhold/standins/users_platforms.py
+++ b/buckthornhold/standins/users_platforms.py
@@ -222,7 +222,7 @@
     refusal of its own if the connection has carried a refusal before.
     ``restarted`` streams begin at the first event again though a later one
     was asked for. ``ran`` are the ids of the requests that were run,
-    ``seen`` their headers.
+    ``seen`` their headers. ``extra_fields`` are headers of all its answers.
     """
 
     def __init__(self, *, name: str, events: int = 0) -> None:
@@ -232,6 +232,7 @@
         self.ran: list[str] = []
         self.seen: list[dict[str, str]] = []
         self.work_seconds = 0.0
+        self.extra_fields: dict[str, str] = {}
         self._refusing_connections: set = set()
 
     async def answer(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -243,7 +244,7 @@
             return web.Response(status=421, headers={"Attempt-Id": request_id})
         if word == "not_run":
             self._refusing_connections.add(request.transport)
-            return make_refusal(request_id)
+            return make_refusal(request_id, self.extra_fields)
         self._note_run(request, body.decode(), word)
         if word == "crossed_refusal":
             return make_refusal("another")
@@ -258,6 +259,7 @@
         fields = {
             "Attempt-Id": "another" if word == "crossed" else request_id,
             SEAL: f"seal-of-{self.name}",
+            **self.extra_fields,
         }
         if word == "half_head":
             return await self._send_raw(request, make_head(fields)[:-9])
@@ -378,11 +380,10 @@
     return f"HTTP/1.1 200 OK\r\n{lines}Connection: close\r\n\r\n"
 
 
-def make_refusal(request_id: str) -> web.Response:
+def make_refusal(request_id: str, extra=None) -> web.Response:
     """Return a worker's statement that it did not run a request."""
-    return web.Response(
-        status=503, headers={"Not-Executed": "1", "Attempt-Id": request_id}
-    )
+    fields = {"Not-Executed": "1", "Attempt-Id": request_id, **(extra or {})}
+    return web.Response(status=503, headers=fields)
 
 
 def reset(transport) -> None:
--- a/buckthornhold/tools/meanings.py
+++ b/buckthornhold/tools/meanings.py
@@ -223,6 +223,9 @@
     "moves.done": "Moves that became known as done.",
     "moves.taken_back": "Moves that became known as taken back.",
     "moves.rechecked": "Done moves whose versions were compared again.",
+    "upstreams.announced_leaving": "Upstreams that said in an answer that "
+    "they leave.",
+    "upstreams.backed_off": "Answers that asked for no requests for a time.",
     "upstreams.crashed": "Upstreams found to have crashed.",
     "upstreams.silent": "Engines that fell silent towards this host.",
     "versions.withdrawn": "Withdrawals of versions that became known.",
--- a/buckthornhold/upstreams.py
+++ b/buckthornhold/upstreams.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import dataclasses
+import functools
 import math
 import time
 
 import aiohttp
 
+from buckthornhold import backoffs
 from buckthornhold import bodies
 from buckthornhold import engines
 from buckthornhold import hosts
@@ -365,22 +367,30 @@
                 self.departures.remove(departure.host)
 
     def _make_upstream(self, record: hosts.HostRecord) -> Upstream:
-        address = self._settings.translate(record.address)
+        upstream = Upstream(record=record)
+        common = {
+            "session": self._session,
+            "address": self._settings.translate(record.address),
+            "budget": self._budget,
+            "announce": functools.partial(self._take_announcement, upstream),
+        }
+        timeout = self._settings.upstream_connect_timeout
         if record.kind is hosts.HostKind.ENGINE:
-            engine = http_engines.HttpModelEngine(
-                session=self._session,
-                address=address,
-                timeout=self._settings.upstream_connect_timeout,
-                budget=self._budget,
+            upstream.engine = http_engines.HttpModelEngine(
+                timeout=timeout, **common
             )
-            return Upstream(record=record, engine=engine)
-        service = services.HttpPlainService(
-            session=self._session,
-            address=address,
-            connect_timeout=self._settings.upstream_connect_timeout,
-            budget=self._budget,
-        )
-        return Upstream(record=record, service=service)
+        else:
+            upstream.service = services.HttpPlainService(
+                connect_timeout=timeout, **common
+            )
+        return upstream
+
+    def _take_announcement(
+        self, upstream: Upstream, announcement: backoffs.Announcement
+    ) -> None:
+        if announcement.leaving and not upstream.leaving:
+            self._host.counters.count_event("upstreams.announced_leaving")
+            self.mark_leaving(upstream)
 
 
 def _allows(allowed: tuple[str, ...], name: str) -> bool:
--- a/buckthornhold/versions.py
+++ b/buckthornhold/versions.py
@@ -82,7 +82,7 @@
     def _is_out(self, model: str, version: str) -> bool:
         """Tell whether each engine of a version is lost or held off."""
         found = self._host.upstreams.list_engines(model, version)
-        paused = self._host.retry_budget.list_paused_upstreams()
+        paused = self._host.backoffs.list_active()
         return bool(found) and all(
             it.key in paused or self._host.silences.is_lost(it) for it in found
         )
--- a/features/steps/engine_answers_steps.py
+++ b/features/steps/engine_answers_steps.py
@@ -198,9 +198,9 @@
         await context.raw_engine.stop()
 
 
-async def read(context, engine, sink) -> None:
-    """Read one answer."""
-    order = engines.Generation(
+def make_order() -> engines.Generation:
+    """Return an order of one answer."""
+    return engines.Generation(
         request_id=REQUEST_ID,
         attempt=ATTEMPT,
         model="m",
@@ -209,7 +209,11 @@
         prompt="p",
         max_tokens=1,
     )
-    last = await engine.generate(order, sink)
+
+
+async def read(context, engine, sink) -> None:
+    """Read one answer."""
+    last = await engine.generate(make_order(), sink)
     context.reads.append((sink.texts, last))
 
 
--- a/features/steps/relay_path_steps.py
+++ b/features/steps/relay_path_steps.py
@@ -188,6 +188,7 @@
     host.upstreams = types.SimpleNamespace(
         list_service=lambda service: upstreams,
         find_retry_wait=lambda service: host.retry_wait_seconds,
+        find_backoff_wait=lambda service: 0.0,
     )
     host.moves = types.SimpleNamespace(
         choose=lambda request, upstreams, is_retry: relay_moves.VersionChoice(
