--- a/testbed/soak.py
+++ b/testbed/soak.py
@@ -30,7 +30,9 @@
 #: How the next requests at an upstream end.
 ODD_ANSWERS = ("lost", "cut", "crossed", "500", "not_run", "extra")
 ODD_STREAMS = ("lost", "cut", "mute", "not_run")
-#: How many are given out at once, and how long until the next, in seconds.
+#: Requests that an upstream refuses with a time for which it wants none.
+REFUSALS = 3
+#: How many odd answers are given out at once, and how long until the next, in seconds.
 ODD_ANSWERS_AT_ONCE = 3
 ODD_ANSWERS_PAUSE = 0.2
 #: What each caller may still send once all is mended, in seconds.
@@ -198,6 +200,19 @@
             await asyncio.sleep(fault.length)
             self._history.drained[name].append((begun, time.monotonic()))
             self._fleet.list_worker(name)
+        if fault.kind == "wants a pause":
+            worker.extra_fields = {"Retry-After": f"{fault.length / 2:.2f}"}
+            worker.script += ["not_run"] * REFUSALS
+            await asyncio.sleep(fault.length)
+            worker.extra_fields = {}
+        if fault.kind == "says it leaves":
+            worker.extra_fields = {"Server-Leaving": "1"}
+            begun = time.monotonic()
+            await asyncio.sleep(fault.length + soak_histories.DRAIN_SECONDS)
+            self._history.announced[name].append((begun, time.monotonic()))
+            worker.extra_fields = {}
+            # It starts anew under its name; who knows it as leaving may send.
+            self._fleet.list_worker(name, born=time.time_ns() // 1_000_000)
         if fault.kind == "swap address":
             await self._swap_addresses(name, fault)
 
--- a/testbed/soak_histories.py
+++ b/testbed/soak_histories.py
@@ -94,6 +94,7 @@
     ``disturbed`` are the times of each host's disturbances, ``drained``
     those in which each upstream's entry said that it leaves, ``revoked``
     when each key was taken away, and ``planned`` are the hosts' stops.
+    ``announced`` are the times in which each upstream's answers said so.
     ``calm_since`` is when everything has been mended for long enough.
     Promises with a time are not judged unless ``timed``: on a machine that is
     too busy to run the hosts none of them is bound by those.
@@ -113,6 +114,9 @@
     drained: dict[str, list[tuple[float, float]]] = dataclasses.field(
         default_factory=lambda: collections.defaultdict(list)
     )
+    announced: dict[str, list[tuple[float, float]]] = dataclasses.field(
+        default_factory=lambda: collections.defaultdict(list)
+    )
     revoked: dict[str, float] = dataclasses.field(default_factory=dict)
     calm_since: float = float("inf")
     timed: bool = True
@@ -134,6 +138,7 @@
                 f"{request.request_id} ({request.kind} at {request.host}, "
                 f"status {request.status}): {text}"
             )
+    found += _check_announced(history)
     if history.calm_since < float("inf"):
         found += _check_recovery(history)
     return found
@@ -183,6 +188,31 @@
                 yield f"ran at {run.upstream}, which leaves"
 
 
+def _check_announced(history: History) -> Iterable[str]:
+    """Check that no host sends on what it was told of an upstream."""
+    told: dict[tuple[str, str, float], float] = {}
+    for request in sorted(
+        history.requests.values(), key=lambda it: it.told_at
+    ):
+        for run in request.runs:
+            for begun, ended in history.announced[run.upstream]:
+                if not begun < run.at < ended:
+                    continue
+                place = (run.upstream, request.host, begun)
+                told_at = told.get(place)
+                if request.whole and not run.odd and told_at is None:
+                    told[place] = request.told_at
+                if told_at is None or request.sent_at < (
+                    told_at + DRAIN_SECONDS
+                ):
+                    continue
+                if history.in_touch(request.host, told_at, run.at):
+                    yield (
+                        f"{request.request_id}: ran at {run.upstream}, which "
+                        f"had told {request.host} that it leaves"
+                    )
+
+
 def _check_success(history: History, request: Request) -> Iterable[str]:
     if not request.whole:
         if request.event_ids != list(range(1, len(request.event_ids) + 1)):
