--- a/testbed/soak.py
+++ b/testbed/soak.py
@@ -32,7 +32,7 @@
 ODD_STREAMS = ("lost", "cut", "mute", "not_run")
 #: Requests that an upstream refuses with a time for which it wants none.
 REFUSALS = 3
-#: How many odd answers are given out at once, and how long until the next, in seconds.
+#: Odd answers that are given out at once, and the time to the next, in s.
 ODD_ANSWERS_AT_ONCE = 3
 ODD_ANSWERS_PAUSE = 0.2
 #: What each caller may still send once all is mended, in seconds.
