Make the facts on crashes in one place

Cause: the new detector of parts and three steps repeated code that stands elsewhere. Change: one function makes the facts on crashes; the steps use the call that another one has. No behaviour is changed. Measured: poison's simulations, odd_inputs/broken_answers and the own rows of leaving/announced pass.

--- a/buckthornhold/coordination/part_detectors.py
+++ b/buckthornhold/coordination/part_detectors.py
@@ -77,12 +77,9 @@
     suspects: tuple[PartSuspect, ...]
 
     def make_fact(self, *, expires: float) -> facts.Fact:
-        """Return the fact to publish; one with more suspects supersedes."""
-        return facts.Fact(
-            key=f"{CRASH_PREFIX}{self.upstream}/{self.host}",
-            rank=(len(self.suspects),),
-            value=json.dumps(dataclasses.asdict(self)),
-            expires=expires,
+        """Return the fact to publish."""
+        return poison_detectors.make_crash_fact(
+            CRASH_PREFIX, self, expires=expires
         )
 
 
--- a/buckthornhold/coordination/poison_detectors.py
+++ b/buckthornhold/coordination/poison_detectors.py
@@ -61,13 +61,21 @@
     suspects: tuple[Suspect, ...]
 
     def make_fact(self, *, expires: float) -> facts.Fact:
-        """Return the fact to publish; one with more suspects supersedes."""
-        return facts.Fact(
-            key=f"{CRASH_PREFIX}{self.upstream}/{self.host}",
-            rank=(len(self.suspects),),
-            value=json.dumps(dataclasses.asdict(self)),
-            expires=expires,
-        )
+        """Return the fact to publish."""
+        return make_crash_fact(CRASH_PREFIX, self, expires=expires)
+
+
+def make_crash_fact(prefix: str, crash, *, expires: float) -> facts.Fact:
+    """Return the fact on a crash; one with more suspects supersedes.
+
+    ``crash`` is a data class with upstream, host and suspects.
+    """
+    return facts.Fact(
+        key=f"{prefix}{crash.upstream}/{crash.host}",
+        rank=(len(crash.suspects),),
+        value=json.dumps(dataclasses.asdict(crash)),
+        expires=expires,
+    )
 
 
 def make_crash_key(key: str, host: str) -> str:
--- a/features/steps/broken_answer_steps.py
+++ b/features/steps/broken_answer_steps.py
@@ -9,6 +9,7 @@
 from buckthornhold import reasons
 from buckthornhold import services
 from features.steps import engine_answers_steps
+from features.steps import own_silence_steps
 
 TIMEOUT_SECONDS = 2.0
 BODY = b"booked as 4711"
@@ -44,15 +45,9 @@
                 budget=bodies.Budget(),
                 connect_timeout=TIMEOUT_SECONDS,
             )
-            call = services.Call(
-                request_id="r",
-                attempt="1",
-                operation="o",
-                method="POST",
-                body=b"",
-                content_type="text/plain",
+            context.result = await service.call(
+                own_silence_steps.CALL, timeout=TIMEOUT_SECONDS
             )
-            context.result = await service.call(call, timeout=TIMEOUT_SECONDS)
         await server.stop()
 
     asyncio.run(run())
--- a/features/steps/own_announced_steps.py
+++ b/features/steps/own_announced_steps.py
@@ -9,6 +9,7 @@
 from buckthornhold import http_engines
 from buckthornhold import services
 from features.steps import engine_answers_steps
+from features.steps import own_silence_steps
 
 TIMEOUT_SECONDS = 2.0
 FIELDS = b"X-Leaving: 1\r\nX-Request-Id: r\r\nContent-Length: 0\r\n\r\n"
@@ -43,15 +44,9 @@
                 service = services.HttpPlainService(
                     connect_timeout=TIMEOUT_SECONDS, **common
                 )
-                call = services.Call(
-                    request_id="r",
-                    attempt="1",
-                    operation="o",
-                    method="POST",
-                    body=b"",
-                    content_type="text/plain",
+                await service.call(
+                    own_silence_steps.CALL, timeout=TIMEOUT_SECONDS
                 )
-                await service.call(call, timeout=TIMEOUT_SECONDS)
         await server.stop()
 
     asyncio.run(run())
