Log by what an upstream is known to leave

Cause: the line did not tell its record, its own answer and another host's word apart. Measured: relays/upstreams passes.

--- a/buckthornhold/relay_upstreams.py
+++ b/buckthornhold/relay_upstreams.py
@@ -264,7 +264,7 @@
                 )
                 self._upstreams[record.key] = upstream
             if record.leaving:
-                self._mark_leaving(upstream)
+                self._mark_leaving(upstream, "its record")
             upstream.record = record
         for key in self._upstreams.keys() - listed:
             upstream = self._upstreams[key]
@@ -291,7 +291,7 @@
             )
         for upstream in self._upstreams.values():
             if make_process_name(upstream) in leaving:
-                self._mark_leaving(upstream)
+                self._mark_leaving(upstream, summary.host)
 
     def announce_load(self) -> None:
         """Send this host's loads to all others now, in a full mesh.
@@ -331,7 +331,7 @@
         """Keep to what an upstream says of itself from now on."""
         if announcement.leaving and not upstream.leaving:
             self._host.counters.count_event("upstreams.announced_leaving")
-            self._mark_leaving(upstream)
+            self._mark_leaving(upstream, "its own answer")
         seconds = announcement.retry_after
         if seconds is None:
             return
@@ -341,13 +341,14 @@
             f"asked for no requests for {seconds:.2f} s"
         )
 
-    def _mark_leaving(self, upstream: RelayUpstream) -> None:
+    def _mark_leaving(self, upstream: RelayUpstream, source: str) -> None:
         """Stop sending to an upstream and publish that it is leaving."""
         if upstream.leaving:
             return
         upstream.leaving = True
         self._host.logger.bind(step="upstreams", peer=upstream.name).info(
-            f"upstream is leaving, {upstream.in_flight} requests in flight"
+            f"upstream is leaving by {source}, "
+            f"{upstream.in_flight} requests in flight"
         )
         self._host.summaries.publish()
 
