Refuse no part while nothing is answered

What callers would see: a version that crashes on every request makes all common parts look deadly; they would stay refused for an hour after the version is gone. Cause: evidence for a part came from its own answers only; a cause that all requests share was not considered. Found by reading the change. Change: some answer must have begun after the first of the crashes, on this host or, by its clearance, on another. The own scenario sends sound chats between the deadly ones, as its head says. part_crashes is split out.

--- a/buckthornhold/coordination/part_detectors.py
+++ b/buckthornhold/coordination/part_detectors.py
@@ -12,15 +12,14 @@
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
-import dataclasses
 import enum
-import json
+import math
 import time
 
 from buckthornhold.coordination import facts
+from buckthornhold.coordination import part_crashes
 from buckthornhold.coordination import poison_detectors
 
-CRASH_PREFIX = "part-crashes/"
 CLEARED_PREFIX = "part-cleared/"
 #: Parts are refused by facts of the same kind as whole requests are, which
 #: are kept in the store.
@@ -52,54 +51,6 @@
     AFTER_CRASH = 2
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class PartSuspect:
-    """A request whose answer had not begun when its upstream crashed.
-
-    ``content`` is equal for equal requests, ``parts`` are the parts of its
-    prompt that other requests may share.
-    """
-
-    content: str
-    parts: tuple[str, ...]
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class PartCrash:
-    """The crash of one incarnation of an upstream, as one host observed it.
-
-    ``time`` is in seconds since the epoch on that host's clock.
-    """
-
-    upstream: str
-    host: str
-    time: float
-    suspects: tuple[PartSuspect, ...]
-
-    def make_fact(self, *, expires: float) -> facts.Fact:
-        """Return the fact to publish."""
-        return poison_detectors.make_crash_fact(
-            CRASH_PREFIX, self, expires=expires
-        )
-
-
-def load_crash(fact: facts.Fact) -> PartCrash:
-    """Parse a crash from its fact; raises ``facts.PARSE_ERRORS``."""
-    values = json.loads(fact.value)
-    return PartCrash(
-        upstream=str(values["upstream"]),
-        host=str(values["host"]),
-        time=float(values["time"]),
-        suspects=tuple(
-            PartSuspect(
-                content=str(fields["content"]),
-                parts=tuple(str(part) for part in fields["parts"]),
-            )
-            for fields in values["suspects"]
-        ),
-    )
-
-
 class PartDetector:
     """Clears suspected parts or finds them to be poison, from all facts.
 
@@ -128,6 +79,8 @@
         self._answered_at: collections.OrderedDict[str, float] = (
             collections.OrderedDict()
         )
+        #: When an answer with any parts last began, on the same clock.
+        self._last_answer_at = -math.inf
         #: When this host received each crash, on the monotonic clock.
         self._received_at: dict[str, float] = {}
         #: When each crash happened, by its reporter's clock.
@@ -136,12 +89,14 @@
         self._contents: dict[str, dict[str, set[str]]] = {}
         #: The crashes of each part after which no answer with it has begun.
         self._crashes: dict[str, set[str]] = {}
+        #: The crashes after which other hosts have seen answers begin.
+        self._survived: set[str] = set()
         #: The refused groups of parts that each crash is explained by.
         self._causes: dict[str, set[frozenset[str]]] = {}
         #: The refused groups by one of their parts.
         self._refused: dict[str, set[frozenset[str]]] = {}
 
-    def apply_fact(self, fact: facts.Fact) -> PartCrash | None:
+    def apply_fact(self, fact: facts.Fact) -> part_crashes.PartCrash | None:
         """Apply a fact; return it if it is a crash.
 
         Raises ``facts.PARSE_ERRORS``.
@@ -149,12 +104,13 @@
         if fact.key.startswith(CLEARED_PREFIX):
             part, _, upstream = fact.key[len(CLEARED_PREFIX) :].partition("/")
             if fact.rank >= (Clearance.AFTER_CRASH,):
+                self._survived.add(upstream)
                 self._remove_crash(part, upstream)
         elif fact.key.startswith(POISON_PREFIX):
             names = fact.key[len(POISON_PREFIX) :].split(GROUP_SEPARATOR)
             self._add_refused(frozenset(names))
-        elif fact.key.startswith(CRASH_PREFIX):
-            crash = load_crash(fact)
+        elif fact.key.startswith(part_crashes.CRASH_PREFIX):
+            crash = part_crashes.load_crash(fact)
             self._add_crash(crash)
             return crash
         return None
@@ -168,10 +124,11 @@
             del self._times[upstream]
             del self._received_at[upstream]
             self._causes.pop(upstream, None)
+            self._survived.discard(upstream)
             for part in self._contents.pop(upstream):
                 self._remove_crash(part, upstream)
 
-    def publish_crash(self, crash: PartCrash) -> None:
+    def publish_crash(self, crash: part_crashes.PartCrash) -> None:
         """Publish this host's observation of a crash."""
         self._publish(
             crash.make_fact(expires=crash.time + self._crash_retention)
@@ -225,6 +182,7 @@
         ``answered_at`` is on the monotonic clock.
         """
         for part in parts:
+            self._last_answer_at = max(answered_at, self._last_answer_at)
             self._answered_at[part] = max(
                 answered_at, self._answered_at.get(part, 0.0)
             )
@@ -234,7 +192,7 @@
         while len(self._answered_at) > MAX_ANSWERED_PARTS:
             self._answered_at.popitem(last=False)
 
-    def list_clearable(self, crash: PartCrash) -> set[str]:
+    def list_clearable(self, crash: part_crashes.PartCrash) -> set[str]:
         """Return the parts of a crash for which this host's answers speak."""
         parts = {part for suspect in crash.suspects for part in suspect.parts}
         return {
@@ -272,6 +230,9 @@
             crashes = self.list_crashes(part, clearance)
             if self._weigh(part, crashes) < needed:
                 continue
+            if not self._has_answers_since(crashes[0]):
+                # The upstreams or their version are as likely a cause.
+                continue
             group = self._find_inseparable(part, crashes, clearance)
             if group:
                 self._publish_poison(group, crashes)
@@ -290,6 +251,13 @@
             )
         )
 
+    def _has_answers_since(self, upstream: str) -> bool:
+        """Tell whether answers with any parts began after a crash."""
+        return (
+            upstream in self._survived
+            or self._last_answer_at > self._received_at[upstream]
+        )
+
     def _publish_poison(
         self, group: frozenset[str], crashes: list[str]
     ) -> None:
@@ -351,7 +319,7 @@
             return Clearance.NONE
         return Clearance(max(0, min(fact.rank[0], Clearance.AFTER_CRASH)))
 
-    def _add_crash(self, crash: PartCrash) -> None:
+    def _add_crash(self, crash: part_crashes.PartCrash) -> None:
         self._times.setdefault(crash.upstream, crash.time)
         self._received_at.setdefault(crash.upstream, self._read_clock())
         contents = self._contents.setdefault(crash.upstream, {})
--- a/buckthornhold/crash_checks.py
+++ b/buckthornhold/crash_checks.py
@@ -11,7 +11,7 @@
 from buckthornhold import request_contracts
 from buckthornhold import tracked_requests
 from buckthornhold import upstreams
-from buckthornhold.coordination import part_detectors
+from buckthornhold.coordination import part_crashes
 from buckthornhold.coordination import poison_detectors
 
 #: Time in which all streams that one crash breaks are reported.
@@ -130,7 +130,7 @@
         self._part_guard.publish_crash(
             name_incarnation(upstream),
             (
-                part_detectors.PartSuspect(
+                part_crashes.PartSuspect(
                     content=suspect.fingerprint,
                     parts=self._find_parts(attempt.contract),
                 )
--- a/buckthornhold/part_guards.py
+++ b/buckthornhold/part_guards.py
@@ -12,6 +12,7 @@
 import time
 
 from buckthornhold.coordination import facts
+from buckthornhold.coordination import part_crashes
 from buckthornhold.coordination import part_detectors
 
 #: Hosts publish the same clearance within this time. Spread over it, most
@@ -77,14 +78,14 @@
     def publish_crash(
         self,
         upstream: str,
-        suspects: Iterable[part_detectors.PartSuspect],
+        suspects: Iterable[part_crashes.PartSuspect],
     ) -> None:
         """Publish the requests that an upstream crashed before answering."""
         suspects = tuple(suspect for suspect in suspects if suspect.parts)
         if not suspects:
             return
         self._detector.publish_crash(
-            part_detectors.PartCrash(
+            part_crashes.PartCrash(
                 upstream=upstream,
                 host=self._host.settings.host,
                 time=self._read_time(),
--- a/buckthornhold/relay_poison_guards.py
+++ b/buckthornhold/relay_poison_guards.py
@@ -17,7 +17,7 @@
 from buckthornhold import relay_upstreams
 from buckthornhold import tasks
 from buckthornhold.coordination import facts
-from buckthornhold.coordination import part_detectors
+from buckthornhold.coordination import part_crashes
 from buckthornhold.coordination import poison_detectors
 from buckthornhold.coordination import suspect_slots
 
@@ -295,7 +295,7 @@
         self._part_guard.publish_crash(
             relay_upstreams.make_process_name(upstream),
             (
-                part_detectors.PartSuspect(
+                part_crashes.PartSuspect(
                     content=attempt.request.content,
                     parts=attempt.request.parts,
                 )
--- a/features/poison/parts.feature
+++ b/features/poison/parts.feature
@@ -16,6 +16,7 @@
       | a part that turns deadly            | 9     | 9       |
       | a deadly part with a rare companion | 9     | 9       |
       | engines killed at once              | 9     | 9       |
+      | a version that crashes all          | 9     | 9       |
 
   # Guards against each chat with the same message crashing another engine.
   Scenario: Chats with a message that crashes engines are refused
--- a/features/steps/part_trial_steps.py
+++ b/features/steps/part_trial_steps.py
@@ -10,6 +10,7 @@
     "many rare parts": {"parts": 200},
     "a part that turns deadly": {"answered_before": True},
     "a deadly part with a rare companion": {"companion": 0.002},
+    "a version that crashes all": {"deadly": 0.0, "all_crash": True},
     "engines killed at once": {"deadly": 0.0, "killed": 4, "parts": 200},
 }
 
--- a/features/steps/poison_part_steps.py
+++ b/features/steps/poison_part_steps.py
@@ -44,7 +44,11 @@
             found.append(
                 await send_chat(context, session, entry, deadly=deadly)
             )
-            await asyncio.sleep(PAUSE_SECONDS if deadly else 0.0)
+            if not deadly:
+                continue
+            await asyncio.sleep(PAUSE_SECONDS)
+            # A sound chat between them; it may meet an engine that crashes.
+            await send_chat(context, session, entry, deadly=False)
     return found
 
 
--- a/testbed/part_trials.py
+++ b/testbed/part_trials.py
@@ -13,6 +13,7 @@
 import random
 
 from buckthornhold.coordination import facts
+from buckthornhold.coordination import part_crashes
 from buckthornhold.coordination import part_detectors
 
 EPOCH = 1_800_000_000.0
@@ -40,7 +41,8 @@
     deadly part; ``answered_before`` tells whether it was sound at first. So
     many engines are ``killed`` at one moment for another reason. With a
     ``companion`` all requests with the deadly part have another rare part in
-    common, as has this share of the others.
+    common, as has this share of the others. With ``all_crash`` each request
+    crashes its engine, as a bad version does.
     """
 
     hosts: int
@@ -51,6 +53,7 @@
     answered_before: bool = False
     killed: int = 0
     companion: float = 0.0
+    all_crash: bool = False
 
 
 @dataclasses.dataclass(kw_only=True, eq=False)
@@ -219,10 +222,8 @@
     def _answer(self, request: Request) -> None:
         if request not in self._running:
             return
-        if (
-            DEADLY_PART in request.parts
-            and self._seconds >= DEADLY_FROM_SECONDS
-        ):
+        is_deadly = self._shape.all_crash or DEADLY_PART in request.parts
+        if is_deadly and self._seconds >= DEADLY_FROM_SECONDS:
             self.crashed += 1
             if self.crashed == SHOWN_BY_CRASHES:
                 self._shown_at = self._now
@@ -243,7 +244,7 @@
         self._back_at[engine] = self._now + RETURN_SECONDS
         for host in self._hosts:
             suspects = tuple(
-                part_detectors.PartSuspect(
+                part_crashes.PartSuspect(
                     content=request.content, parts=request.parts
                 )
                 for request in broken
@@ -259,7 +260,7 @@
 
     def _note_crash(self, host: Host, name: str, suspects) -> None:
         host.detector.publish_crash(
-            part_detectors.PartCrash(
+            part_crashes.PartCrash(
                 upstream=name,
                 host=host.name,
                 time=self._now,
