--- a/features/poison/parts.feature
+++ b/features/poison/parts.feature
@@ -16,7 +16,11 @@
       | a part that turns deadly            | 9     | 9       |
       | a deadly part with a rare companion | 9     | 9       |
       | engines killed at once              | 9     | 9       |
-      | a version that crashes all          | 9     | 9       |
+
+  # Guards against refusing all common parts for the crashes of a version.
+  Scenario: A version that crashes on every request
+    When 5 seeded trials of a version that crashes all with 9 hosts and 9 engines are run
+    Then in no trial a request without the deadly part is refused
 
   # Guards against each chat with the same message crashing another engine.
   Scenario: Chats with a message that crashes engines are refused
