Split the planning of retries out of relays

Whether a request may run elsewhere, how long an upstream is waited for and when a retry ends a request is one job.

Change: moved to relay_retries.RetryPlan without a change of behaviour.

Measured: features/relays and features/poison: 254 passed, 1 failed, 'a part that turns deadly', which doesn't reach this code.

--- a/buckthornhold/relays.py
+++ b/buckthornhold/relays.py
@@ -14,24 +14,11 @@
 from buckthornhold import reasons
 from buckthornhold import relay_messages
 from buckthornhold import relay_poison_guards
+from buckthornhold import relay_retries
 from buckthornhold import relay_selectors
 from buckthornhold import relay_upstreams
 from buckthornhold.coordination import evidence
 
-#: A repeatable call is retried on another upstream when its response takes
-#: longer than this many times the route's target latency, but at least the
-#: minimum.
-RESPONSE_TIMEOUT_FACTOR = 2.0
-MIN_RESPONSE_TIMEOUT_SECONDS = 0.2
-#: A resumable stream continues on another upstream when its first event takes
-#: longer than this many times the target latency, or a later event longer
-#: than this many times the route's longest gap.
-FIRST_EVENT_TIMEOUT_FACTOR = 3.0
-EVENT_TIMEOUT_FACTOR = 4.0
-#: Time left until the deadline below which a request is not retried.
-MIN_TIME_LEFT_SECONDS = 0.05
-#: Limits the attempts of one request, those that upstreams refuse included.
-MAX_ATTEMPTS = 4
 #: How long an upstream that accepted no connection is excluded.
 UNREACHABLE_PAUSE_SECONDS = 2.0
 #: How long an upstream that refused a request for lack of capacity is
@@ -58,7 +45,7 @@
         self._route = request.route
         self._responder = responder
         self._ran = reasons.Ran.NO
-        self._ran_on: set[tuple[str, int]] = set()
+        self._retries = relay_retries.RetryPlan(host=host, request=request)
         self._selector = relay_selectors.UpstreamSelector(
             host=host, request=request
         )
@@ -170,14 +157,16 @@
                 upstream.pause(FULL_PAUSE_SECONDS)
             return
         self._ran = reasons.Ran.UNKNOWN
-        self._ran_on.add(upstream.key)
+        self._retries.record_run(upstream)
         upstream.record_outcome(failed=True)
         self._count_usage(upstream)
 
     async def _exchange(
         self, upstream: relay_upstreams.RelayUpstream, stop_waiting
     ) -> reasons.Failure | None:
-        limit = self._compute_response_timeout()
+        limit = self._retries.compute_response_timeout()
+        if limit is not None and not self._selector.has_untried():
+            limit = None
         response = None
         try:
             try:
@@ -244,33 +233,12 @@
     def _is_past_deadline(self) -> bool:
         return time.monotonic() >= self._request.contract.deadline
 
-    def _compute_response_timeout(self) -> float | None:
-        """Return the timeout for the first event or whole response, if any.
-
-        Only a request that may be retried on another upstream is abandoned
-        before its deadline.
-        """
-        if not self._may_retry_elsewhere() or not self._selector.has_untried():
-            return None
-        if self._route.streamed:
-            return FIRST_EVENT_TIMEOUT_FACTOR * self._route.target
-        return max(
-            MIN_RESPONSE_TIMEOUT_SECONDS,
-            RESPONSE_TIMEOUT_FACTOR * self._route.target,
-        )
-
-    def _may_retry_elsewhere(self) -> bool:
-        """Tell whether the request may be executed on another upstream."""
-        if not self._route.repeatable:
-            return False
-        return len(self._ran_on) + 1 < self._route.attempts
-
     async def _forward_response(
         self, upstream, response: relay_messages.UpstreamResponse, body: bytes
     ) -> reasons.Failure | None:
         """Forward a whole response, unless a retry may give a better one."""
         failed = response.status >= 500
-        if failed and self._may_retry_elsewhere():
+        if failed and self._retries.may_run_elsewhere():
             return relay_messages.make_status_failure(upstream, response)
         self._ran = reasons.Ran.YES
         upstream.record_outcome(failed=failed)
@@ -283,7 +251,7 @@
         ):
             # The status promises that the request was not executed, but
             # it was.
-            self._ran_on.add(upstream.key)
+            self._retries.record_run(upstream)
             return relay_messages.make_status_failure(upstream, response)
         if not failed:
             self._host.retry_budgets.record_success(self._request.service)
@@ -344,9 +312,7 @@
     async def _read_next_event(
         self, upstream, response: relay_messages.UpstreamResponse
     ):
-        limit = None
-        if self._may_retry_elsewhere() and self._route.longest_gap:
-            limit = max(1.0, EVENT_TIMEOUT_FACTOR * self._route.longest_gap)
+        limit = self._retries.compute_event_timeout()
         try:
             async with asyncio.timeout(limit):
                 return await response.read_event()
@@ -368,27 +334,12 @@
 
     def _plan_retry(self, failure: reasons.Failure) -> reasons.Failure | None:
         """Return the final failure, or None if the request is retried."""
-        final = failure.replace(
-            ran=self._ran,
-            retry_after=failure.retry_after
-            or relay_selectors.RETRY_AFTER_SECONDS,
+        final = self._retries.plan_retry(
+            failure,
+            attempt_count=self.attempt_count,
+            resumable=not self.stream_started or bool(self._last_event),
         )
-        left = self._request.contract.deadline - time.monotonic()
-        if left < MIN_TIME_LEFT_SECONDS or self.attempt_count >= MAX_ATTEMPTS:
-            return final
-        if failure.ran is not reasons.Ran.NO and not (
-            self._route.repeatable and len(self._ran_on) < self._route.attempts
-        ):
-            return final
-        if self.stream_started and not self._last_event:
-            return final
-        if not self._host.retry_budgets.acquire(self._request.service):
-            return final.replace(
-                reason=reasons.Reason.RETRY_BUDGET,
-                detail=f"{failure.reason.value}: {failure.detail}",
-            )
-        self._host.record_retry(self._request, failure)
-        return None
+        return final and final.replace(ran=self._ran)
 
     def _fail(self, reason: reasons.Reason, detail: str) -> reasons.Failure:
         return reasons.Failure(
