Send no request whose client has disconnected

Cause: a call that must not be repeated was shielded from its client's close as soon as an attempt had begun, also while that attempt was still connecting, was refused or waited for a retry. The own interface shielded it from the beginning: from the wait for its claim on.

Change: a Dispatch, used by both interfaces, tells whether an upstream may have received the current attempt. HTTP clients mark it right before the head is written. Until then a disconnect ends the call; afterwards the attempt is completed, and no other is made. A request whose connection never came up is no longer taken for one that may have run: its quota is given back, its usage not counted, and at the deadline it is refused as not run. Ruled out: cancelling what has been sent, as the outcome of a payment would be lost.

--- a/buckthornhold/calls.py
+++ b/buckthornhold/calls.py
@@ -9,6 +9,7 @@
 from buckthornhold import attempts
 from buckthornhold import backoffs
 from buckthornhold import claimed_calls
+from buckthornhold import dispatches
 from buckthornhold import headers
 from buckthornhold import reasons
 from buckthornhold import request_contracts
@@ -41,7 +42,7 @@
         """Run one call and return its whole answer.
 
         A call that isn't idempotent goes on, and stays counted as in flight,
-        when this coroutine is cancelled.
+        when this coroutine is cancelled after a service may have received it.
         """
         if not contract.idempotent:
             try:
@@ -56,18 +57,22 @@
     async def _run_once(
         self, contract: request_contracts.RequestContract, call: services.Call
     ) -> services.Answer | reasons.Failure:
-        return await self.run_attempts(contract, call, contract.request_id)
+        return await self.run_attempts(
+            contract, call, contract.request_id, dispatches.Dispatch()
+        )
 
     async def run_attempts(
         self,
         contract: request_contracts.RequestContract,
         call: services.Call,
         name: str,
+        dispatch: dispatches.Dispatch,
     ) -> services.Answer | reasons.Failure:
         """Send a call until it is answered or may not be sent again.
 
         The attempts are named by ``name`` and their number. The final
-        failure's ``ran`` speaks of all of them.
+        failure's ``ran`` speaks of all of them. The call is not sent again
+        once ``dispatch`` is abandoned.
         """
         service, _, _ = contract.route.partition("/")
         tried: set[tuple[str, int]] = set()
@@ -78,7 +83,9 @@
             if isinstance(attempt, reasons.Failure):
                 return attempt.replace(ran=ran)
             result = await self._send(
-                attempt, dataclasses.replace(call, attempt=f"{name}/{number}")
+                attempt,
+                dataclasses.replace(call, attempt=f"{name}/{number}"),
+                dispatch,
             )
             failure = _find_failure(result, contract)
             if failure is None:
@@ -92,6 +99,9 @@
             number += 1
             if failure.ran is not reasons.Ran.NO:
                 ran = reasons.Ran.UNKNOWN
+            if dispatch.abandoned:
+                reason = reasons.Reason.CALLER_GONE
+                return failure.replace(ran=ran, reason=reason)
             wait = self._plan_wait(contract, service, number, tried, failure)
             if isinstance(wait, reasons.Failure):
                 if isinstance(result, services.Answer):
@@ -100,6 +110,7 @@
             self._host.counters.count_retry(
                 attempts.find_retry_reason(failure)
             )
+            dispatch.prepare_retry()
             await asyncio.sleep(wait)
 
     def _plan_attempt(self, contract, service, number, tried):
@@ -168,7 +179,7 @@
         wait = self._host.backoffs.find_wait(it.key for it in found)
         return max(self._host.settings.retry_after, wait)
 
-    async def _send(self, attempt, call):
+    async def _send(self, attempt, call, dispatch):
         upstream = attempt.upstream
         signals.attempt_started.send(self._host, attempt=attempt)
         upstream.in_flight += 1
@@ -176,6 +187,7 @@
             result = await upstream.service.call(
                 call,
                 timeout=attempt.contract.deadline - time.monotonic(),
+                mark_sent=dispatch.mark_sent,
             )
         finally:
             upstream.in_flight -= 1
--- a/buckthornhold/claimed_calls.py
+++ b/buckthornhold/claimed_calls.py
@@ -1,11 +1,14 @@
 """Claimed calls: requests to plain services that run at most once."""
 
 import asyncio
-from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Coroutine
 import contextlib
+import dataclasses
 import time
+import typing
 
+from buckthornhold import dispatches
 from buckthornhold import reasons
 from buckthornhold import request_contracts
 from buckthornhold import retry_budgets
@@ -14,7 +17,13 @@
 
 Result = services.Answer | reasons.Failure
 RunAttempts = Callable[
-    [request_contracts.RequestContract, services.Call, str], Awaitable[Result]
+    [
+        request_contracts.RequestContract,
+        services.Call,
+        str,
+        dispatches.Dispatch,
+    ],
+    Coroutine[typing.Any, typing.Any, Result],
 ]
 
 #: The first waits between tries to record an outcome are this step of
@@ -29,18 +38,44 @@
 UNKNOWN = claim_records.Outcome(kind=claim_records.OutcomeKind.UNKNOWN)
 
 
+@dataclasses.dataclass(kw_only=True, eq=False)
+class RunningCall:
+    """A call that this host runs; ``waiting`` callers wait for its result.
+
+    ``digest`` tells it apart from another call under the same id.
+    """
+
+    digest: str
+    dispatch: dispatches.Dispatch
+    task: asyncio.Task
+    waiting: int = 0
+
+    @property
+    def not_run(self) -> bool:
+        """Whether it has ended without being run."""
+        task = self.task
+        if not task.done() or task.cancelled() or task.exception() is not None:
+            return False
+        result = task.result()
+        if not isinstance(result, reasons.Failure):
+            return False
+        return result.ran is reasons.Ran.NO
+
+
 class ClaimedCalls:
     """Runs calls under a claim of their request id.
 
-    Each call is a task of its own: a caller that goes away ends neither the
-    attempt nor the recording of its outcome, and both count as in flight. A
-    repeat of an id that this host is running joins it.
+    Each call is a task of its own: once a service may have received it, a
+    caller that goes away ends neither the attempt nor the recording of its
+    outcome, and both count as in flight. Before that, the call is abandoned
+    when nobody waits for it any more. A repeat of an id that this host is
+    running joins it.
     """
 
     def __init__(self, *, host, run_attempts: RunAttempts) -> None:
         self._host = host
         self._run_attempts = run_attempts
-        self._running: dict[str, tuple[str, asyncio.Task]] = {}
+        self._running: dict[str, RunningCall] = {}
         self._recordings: set[asyncio.Task] = set()
 
     async def run(
@@ -52,26 +87,32 @@
         have run meanwhile, so that the repeat then asks for itself.
         """
         while True:
-            digest, task = self._running.get(contract.request_id, ("", None))
-            if task is None or _is_not_run(task):
+            running = self._running.get(contract.request_id)
+            if running is None or running.not_run:
                 return await self._wait(self._start(contract, call), contract)
-            if digest != contract.digest:
+            if running.digest != contract.digest:
                 return _refuse_reuse()
-            result = await self._wait(task, contract)
-            if not _is_not_run(task):
+            result = await self._wait(running, contract)
+            if not running.not_run:
                 return result
 
-    async def _wait(self, task: asyncio.Task, contract) -> Result:
+    async def _wait(self, running: RunningCall, contract) -> Result:
         """Return a call's result, or the word of a host whose time is over.
 
-        The call itself goes on: its answer may still be recorded.
+        A call that was sent goes on: its answer may still be recorded.
         """
-        await asyncio.wait(
-            (task, self._host.drains.over),
-            return_when=asyncio.FIRST_COMPLETED,
-        )
-        if task.done():
-            return task.result()
+        running.waiting += 1
+        try:
+            await asyncio.wait(
+                (running.task, self._host.drains.over),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+        finally:
+            running.waiting -= 1
+            if not running.waiting and not running.task.done():
+                running.dispatch.abandon()
+        if running.task.done():
+            return running.task.result()
         reason = reasons.Reason.OUTCOME_UNKNOWN
         if contract.id_from_client:
             reason = reasons.Reason.STILL_RUNNING
@@ -83,26 +124,34 @@
             retry_after=self._host.settings.retry_after,
         )
 
-    def _start(self, contract, call) -> asyncio.Task:
-        task = asyncio.create_task(self._run(contract, call))
+    def _start(self, contract, call) -> RunningCall:
+        dispatch = dispatches.Dispatch()
+        task = asyncio.create_task(self._run(contract, call, dispatch))
         task.add_done_callback(self._report)
-        self._running[contract.request_id] = (contract.digest, task)
-        return task
+        running = RunningCall(
+            digest=contract.digest, dispatch=dispatch, task=task
+        )
+        self._running[contract.request_id] = running
+        return running
 
-    async def _run(self, contract, call) -> Result:
+    async def _run(self, contract, call, dispatch) -> Result:
         recording = False
         with self._host.admissions.track_request():
             try:
                 if not contract.id_from_client:
                     # Nobody else knows the id, so that nobody repeats it.
-                    return await self._run_attempts(
-                        contract, call, contract.request_id
+                    return await dispatch.run(
+                        self._run_attempts(
+                            contract, call, contract.request_id, dispatch
+                        )
                     )
                 claim = await self._take(contract)
                 if not isinstance(claim, claim_records.Claim):
                     return claim
-                result = await self._run_attempts(
-                    contract, call, claim.change_id
+                result = await dispatch.run(
+                    self._run_attempts(
+                        contract, call, claim.change_id, dispatch
+                    )
                 )
                 self._record_later(
                     claim, self._make_outcome(result), asyncio.current_task()
@@ -284,8 +333,8 @@
             self._forget(claim.request_id, call_task)
 
     def _forget(self, request_id: str, task: asyncio.Task | None) -> None:
-        _, running = self._running.get(request_id, ("", None))
-        if running is not None and running is task:
+        running = self._running.get(request_id)
+        if running is not None and running.task is task:
             del self._running[request_id]
 
     def _report(self, task: asyncio.Task) -> None:
@@ -298,16 +347,6 @@
         ).error("step failed")
 
 
-def _is_not_run(task: asyncio.Task) -> bool:
-    """Tell whether a call has ended without being run."""
-    if not task.done() or task.cancelled() or task.exception() is not None:
-        return False
-    result = task.result()
-    if not isinstance(result, reasons.Failure):
-        return False
-    return result.ran is reasons.Ran.NO
-
-
 def _refuse_reuse() -> reasons.Failure:
     return reasons.Failure(
         reason=reasons.Reason.ID_REUSED,
--- a/buckthornhold/clients.py
+++ b/buckthornhold/clients.py
@@ -37,6 +37,22 @@
         raise ConnectionLost(repr(error)) from error
 
 
+def make_sent_trace() -> aiohttp.TraceConfig:
+    """Return a trace that calls a request's ``trace_request_ctx``, if set.
+
+    It is called before the request's head is written to a connection. What
+    it raises keeps the request from being sent, and closes the connection.
+    """
+
+    async def report(session, context, parameters) -> None:
+        if context.trace_request_ctx is not None:
+            context.trace_request_ctx()
+
+    trace = aiohttp.TraceConfig()
+    trace.on_request_headers_sent.append(report)
+    return trace
+
+
 class Protocol(client_proto.ResponseHandler):
     """Reads answers; gives up after too many interim ones.
 
@@ -96,4 +112,5 @@
     return aiohttp.ClientSession(
         connector=Connector(limit=0),
         middlewares=(forbid_repeats,),
+        trace_configs=[make_sent_trace()],
     )
--- a/buckthornhold/platform/upstream_clients.py
+++ b/buckthornhold/platform/upstream_clients.py
@@ -57,6 +57,7 @@
             limit=0, keepalive_timeout=KEEPALIVE_SECONDS
         ),
         middlewares=(clients.forbid_repeats,),
+        trace_configs=[clients.make_sent_trace()],
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
         skip_auto_headers=SKIPPED_DEFAULT_HEADERS,
@@ -185,6 +186,7 @@
                 headers=fields,
                 data=message.body if message.has_body else None,
                 allow_redirects=False,
+                trace_request_ctx=request.dispatch.mark_sent,
             )
         except (
             aiohttp.ClientConnectorError,
--- a/buckthornhold/relay_messages.py
+++ b/buckthornhold/relay_messages.py
@@ -4,6 +4,7 @@
 import dataclasses
 import typing
 
+from buckthornhold import dispatches
 from buckthornhold import reasons
 from buckthornhold import relay_routers
 from buckthornhold import relay_upstreams
@@ -23,7 +24,8 @@
     ``resume_after`` is the id of the last event that the client received in
     an earlier attempt. ``content`` is a digest that is equal for requests
     with equal content under any id. ``parts`` are the digests of the parts of
-    its prompt that other requests may share.
+    its prompt that other requests may share. ``dispatch`` tells whether an
+    upstream may have received it and whether its client still waits.
     """
 
     contract: request_contracts.RequestContract
@@ -36,6 +38,9 @@
     resume_after: str = ""
     content: str = ""
     parts: tuple[str, ...] = ()
+    dispatch: dispatches.Dispatch = dataclasses.field(
+        default_factory=dispatches.Dispatch, compare=False
+    )
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -86,6 +91,7 @@
     ) -> UpstreamResponse | reasons.Failure:
         """Send a request and return the response once its head arrived.
 
+        ``request.dispatch`` is marked as sent before the first byte.
         ``failure.ran`` is ``NO`` only if no byte reached the upstream or it
         reports itself that it did not execute the request.
         """
--- a/buckthornhold/relay_requests.py
+++ b/buckthornhold/relay_requests.py
@@ -190,8 +190,9 @@
     ) -> reasons.Failure | None:
         """Respond to the client; return the failure if that is impossible.
 
-        A call that must not be repeated continues after the client has
-        disconnected, so that its outcome is known and counted.
+        An attempt of a call that must not be repeated continues after the
+        client has disconnected, once an upstream may have received it, so
+        that its outcome is known and counted.
         """
         started_at = time.monotonic()
         relay = relays.Relay(
@@ -212,8 +213,7 @@
             try:
                 return await asyncio.shield(task)
             except asyncio.CancelledError:
-                if not relay.attempt_count:
-                    task.cancel()
+                request.dispatch.abandon()
                 raise
         self._record_outcome(relay, request, started_at, failure)
         return failure
@@ -247,7 +247,9 @@
             f"{answered_at - started_at:.3f} s, "
             f"{relay.attempt_count} attempts, "
             f"expected {relay.expected_seconds:.3f} s, "
-            f"ran {relay.ran.value}, content {request.content}, "
+            f"ran {relay.ran.value}, "
+            f"{'client disconnected, ' if request.dispatch.abandoned else ''}"
+            f"content {request.content}, "
             f"version {self._host.configurations.version}"
         )
         if failure is None:
--- a/buckthornhold/relay_retries.py
+++ b/buckthornhold/relay_retries.py
@@ -88,6 +88,8 @@
             retry_after=failure.retry_after
             or relay_selectors.RETRY_AFTER_SECONDS,
         )
+        if self._request.dispatch.abandoned:
+            return final.replace(reason=reasons.Reason.CALLER_GONE)
         left = self._request.contract.deadline - time.monotonic()
         if left < MIN_TIME_LEFT_SECONDS or attempt_count >= MAX_ATTEMPTS:
             return final
@@ -103,4 +105,5 @@
                 detail=f"{failure.reason.value}: {failure.detail}",
             )
         self._host.record_retry(self._request, failure)
+        self._request.dispatch.prepare_retry()
         return None
--- a/buckthornhold/relays.py
+++ b/buckthornhold/relays.py
@@ -44,6 +44,7 @@
         self._request = request
         self._route = request.route
         self._responder = responder
+        self._dispatch = request.dispatch
         self._ran = reasons.Ran.NO
         self._retries = relay_retries.RetryPlan(host=host, request=request)
         self._selector = relay_selectors.UpstreamSelector(
@@ -81,7 +82,7 @@
         left = self._request.contract.deadline - time.monotonic()
         try:
             async with asyncio.timeout(left):
-                return await self._run_attempts()
+                return await self._dispatch.run(self._run_attempts())
         except TimeoutError:
             return self._fail(
                 reasons.Reason.DEADLINE_PASSED,
@@ -204,9 +205,10 @@
         except asyncio.CancelledError:
             # The client disconnected or the deadline passed; the upstream
             # may still be executing the request.
-            self._ran = reasons.Ran.UNKNOWN
-            self._count_usage(upstream)
-            self._record_version_outcome(upstream, failed=False)
+            if self._dispatch.sent:
+                self._ran = reasons.Ran.UNKNOWN
+                self._count_usage(upstream)
+                self._record_version_outcome(upstream, failed=False)
             if upstream.record_abandoned():
                 self._host.upstream_client.drop_idle(upstream)
             raise
--- a/buckthornhold/services.py
+++ b/buckthornhold/services.py
@@ -54,12 +54,18 @@
 
     @abc.abstractmethod
     async def call(
-        self, call: Call, *, timeout: float
+        self,
+        call: Call,
+        *,
+        timeout: float,
+        mark_sent: Callable[[], None] | None = None,
     ) -> Answer | reasons.Failure:
         """Send a call once and return the whole answer.
 
-        ``failure.ran`` is ``NO`` only if no byte reached the service or the
-        service itself says that the call was not run.
+        ``timeout`` is in seconds. ``mark_sent`` is called before the first
+        byte is sent; what it raises keeps the call from being sent and is
+        raised here. ``failure.ran`` is ``NO`` only if no byte reached the
+        service or the service itself says that the call was not run.
         """
 
 
@@ -91,7 +97,11 @@
         return self._address
 
     async def call(
-        self, call: Call, *, timeout: float
+        self,
+        call: Call,
+        *,
+        timeout: float,
+        mark_sent: Callable[[], None] | None = None,
     ) -> Answer | reasons.Failure:
         """Send a call once and return the whole answer."""
         try:
@@ -105,6 +115,7 @@
                     "Content-Type": call.content_type,
                 },
                 allow_redirects=False,
+                trace_request_ctx=mark_sent,
                 timeout=aiohttp.ClientTimeout(
                     total=timeout, sock_connect=self._connect_timeout
                 ),
--- a/features/relays/relays.feature
+++ b/features/relays/relays.feature
@@ -126,6 +126,23 @@
     When relays: the client disconnects while the upstream works
     Then relays: nothing was sent
 
+  # Guards against requests that are sent on after their client has closed.
+  Scenario Outline: A client disconnects before an upstream runs its request
+    Given relays: a <kind> route with <attempts> attempts and 3 upstreams
+    When relays: the client disconnects while upstreams answer <script>
+    Then relays: <sent> upstreams received the request
+    And relays: the request's quota is refunded
+
+    Examples:
+      | kind      | attempts | script                       | sent |
+      | unsafe    | 1        | late_connect_timeout, 200    | 0    |
+      | unsafe    | 1        | late_connect, 200            | 0    |
+      | unsafe    | 1        | late_refusal, 200            | 1    |
+      | safe      | 2        | late_connect_timeout, 200    | 0    |
+      | safe      | 2        | late_connect, 200            | 0    |
+      | stream    | 1        | late_connect_timeout, events | 0    |
+      | resumable | 2        | late_connect, events         | 0    |
+
   Scenario Outline: All upstreams of a plain service are silent
     Given relays: a <kind> route with 1 attempts and 3 upstreams
     And relays: all upstreams are silent
--- a/features/steps/at_most_once_fault_steps.py
+++ b/features/steps/at_most_once_fault_steps.py
@@ -82,7 +82,8 @@
                     "attempt": execution["attempt"],
                 }
             )
-        await self._session.close()
+        if self._session is not None:
+            await self._session.close()
 
 
 async def run_with_fleet(context, act):
--- a/features/steps/relay_path_steps.py
+++ b/features/steps/relay_path_steps.py
@@ -26,6 +26,8 @@
 EVENTS = 6
 EVENTS_BEFORE_FAULT = 3
 SLOW_GAP_SECONDS = 0.2
+#: How long the upstreams of the ``late`` entries of a script take.
+LATE_SECONDS = 0.3
 INTERVAL_TOLERANCE_SECONDS = 0.1
 TARGET_LATENCY_SECONDS = 0.1
 TIMEOUT_SECONDS = 3.0
@@ -86,11 +88,20 @@
         self._entries = list(entries)
         self.responses = []
         self.attempted = []
+        self.sent = []
 
     async def open(self, request, upstream, *, seconds_left, resume_after):
         self.attempted.append(upstream.name)
         entry = self._entries.pop(0)
-        if entry == "not_run":
+        if entry.startswith("late_connect"):
+            await asyncio.sleep(LATE_SECONDS)
+        if entry == "late_connect_timeout":
+            return fail(reasons.Reason.UPSTREAM_UNREACHABLE, reasons.Ran.NO)
+        request.dispatch.mark_sent()
+        self.sent.append(upstream.name)
+        if entry == "late_refusal":
+            await asyncio.sleep(LATE_SECONDS)
+        if entry in ("not_run", "late_refusal"):
             return fail(reasons.Reason.UPSTREAM_REFUSED, reasons.Ran.NO)
         if entry == "unreachable":
             return fail(reasons.Reason.UPSTREAM_UNREACHABLE, reasons.Ran.NO)
@@ -108,7 +119,7 @@
         return response
 
     def drop_idle(self, upstream):
-        pass
+        """Do nothing: there are no connections."""
 
     async def is_listening(self, upstream):
         return True
@@ -150,6 +161,7 @@
 def make_host(upstream_count):
     logger = logs.bind(host="h", zone="a")
     counts = counters.Counters(address=None, prefix="")
+    refunded = []
     host = types.SimpleNamespace(
         logger=logger,
         counters=counts,
@@ -159,7 +171,10 @@
         ),
         background=tasks.TaskSet(logger=logger, counters=counts),
         configurations=types.SimpleNamespace(version=1),
-        quotas=types.SimpleNamespace(refund=lambda workspace, units: None),
+        quotas=types.SimpleNamespace(
+            refund=lambda workspace, units: refunded.append(units)
+        ),
+        refunded=refunded,
         counted_workspaces=[],
         retries=[],
         event_intervals=[],
@@ -279,6 +294,18 @@
     assert not context.host.upstream_client.attempted
 
 
+@behave.then("relays: {count:d} upstreams received the request")
+def check_sent(context, count):
+    client = context.host.upstream_client
+    assert len(client.sent) == count, (client.attempted, client.sent)
+
+
+@behave.then("relays: the request's quota is refunded")
+def check_refund(context):
+    assert context.host.refunded == [1.0], context.host.refunded
+    assert not context.host.counted_workspaces
+
+
 @behave.given("relays: all upstreams are silent")
 def silence_all(context):
     context.host.retry_wait_seconds = 1.5
@@ -310,7 +337,13 @@
 
 @behave.when("relays: the client disconnects while the upstream works")
 def disconnect(context):
-    context.host.upstream_client = ScriptedClient(["slow"])
+    disconnect_early(context, "slow")
+
+
+@behave.when("relays: the client disconnects while upstreams answer {script}")
+def disconnect_early(context, script):
+    entries = [entry.strip() for entry in script.split(",")]
+    context.host.upstream_client = ScriptedClient(entries)
     context.client = RecordingClient()
 
     async def run():
--- a/testbed/relay_fleets.py
+++ b/testbed/relay_fleets.py
@@ -11,6 +11,7 @@
 from buckthornhold import relay_settings
 from buckthornhold.platform import adapters
 from buckthornhold.standins import users_platforms
+from testbed import dark_listeners
 from testbed import ports
 from testbed import soak_links
 
@@ -45,6 +46,7 @@
         self._host_count = hosts
         self._bounds = {"grace_seconds": 3.0, "usage_window": 1.0, **bounds}
         self._runners: list[web.ServerRunner] = []
+        self._dark: list[dark_listeners.DarkListener] = []
         self._addresses: dict[str, str] = {}
         self._request_number = 0
 
@@ -153,6 +155,8 @@
             await link.stop()
         for runner in self._runners:
             await runner.cleanup()
+        for listener in self._dark:
+            listener.close()
         others = asyncio.all_tasks() - {asyncio.current_task()}
         for task in others:
             task.cancel()
@@ -181,6 +185,13 @@
         self._addresses[name] = address
         self.list_worker(name, version=version)
 
+    def darken_worker(self, name: str) -> None:
+        """Have connections to an upstream hang, as without power."""
+        listener = dark_listeners.DarkListener()
+        self._dark.append(listener)
+        self._addresses[name] = listener.address
+        self.list_worker(name)
+
     def _make_worker(
         self, name: str, events: int
     ) -> users_platforms.WireWorker:
--- a/testbed/steps.py
+++ b/testbed/steps.py
@@ -16,6 +16,7 @@
 BEFORE_CLAIM = "before the claim"
 CLAIM_WRITTEN = "claim written"
 CLAIMED = "claimed"
+CONNECTING = "connecting"
 SENT = "sent"
 ANSWERED = "answered"
 RECORDED = "recorded"
@@ -154,9 +155,12 @@
         """The service's address, as ``IP:port``."""
         return self._inner.address
 
-    async def call(self, call, *, timeout):
+    async def call(self, call, *, timeout, mark_sent=None):
         """Send a call."""
-        answer = await self._inner.call(call, timeout=timeout)
+        await self._gate.enter(CONNECTING)
+        answer = await self._inner.call(
+            call, timeout=timeout, mark_sent=mark_sent
+        )
         await self._gate.enter(SENT)
         return answer
 
