Run no request whose client closed before it was read

What callers saw: on a host whose event loop lags, requests ran whose clients had closed while they waited to be read.

Cause: a request and the close behind it then wait together in the socket. The loop reads the request first, and an upstream with an idle connection gets it before the close is seen.

Both interfaces ask before they admit it, and refuse it as not run. Ruled out: passing the event loop a few times before each request is sent, which delays all of them most when it lags.

--- a/buckthornhold/callers.py
+++ b/buckthornhold/callers.py
@@ -163,7 +163,9 @@
         the request is held.
         """
         await self._host.pauses.wait_until_fresh()
-        failure = self._check_request(request)
+        failure = connections.check_connected(request)
+        if failure is None:
+            failure = self._check_request(request)
         if failure is not None:
             return failure
         if request.content.is_eof():
--- a/buckthornhold/connections.py
+++ b/buckthornhold/connections.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import http
+import select
 import time
 
 import aiohttp
@@ -214,6 +215,28 @@
         )
 
 
+def check_connected(request: web.BaseRequest) -> reasons.Failure | None:
+    """Return a failure if a request's client has closed its connection.
+
+    While the event loop lags, a request and the close behind it wait together
+    in the socket, and the request is read first.
+    """
+    transport = request.transport
+    if transport is not None and not transport.is_closing():
+        poll = select.poll()
+        poll.register(
+            transport.get_extra_info("socket").fileno(), select.POLLRDHUP
+        )
+        if not poll.poll(0):
+            return None
+    return reasons.Failure(
+        reason=reasons.Reason.CALLER_GONE,
+        step="read request",
+        peer=request.remote or "",
+        detail="the client disconnected before its request was read",
+    )
+
+
 class ConnectionSweeper(tasks.PeriodicService):
     """Ends connections of callers that write or read too slowly."""
 
--- a/buckthornhold/platform/ingress.py
+++ b/buckthornhold/platform/ingress.py
@@ -146,6 +146,9 @@
         body = await self._read_body(request)
         if isinstance(body, reasons.Failure):
             return body
+        departed = connections.check_connected(request)
+        if departed is not None:
+            return departed
         return self._host.relay_handler.admit_request(
             match,
             relay_requests.RequestParameters(
--- a/features/at_most_once/departed_clients.feature
+++ b/features/at_most_once/departed_clients.feature
@@ -37,3 +37,10 @@
     Then the call's later retry gets 'answer'
     And the call's service counted 1 executions
     And the history of this call violates no guarantee
+
+  # Guards against calls that are read after their clients have closed, on a
+  # host whose event loop lags.
+  Scenario: The client disconnects before the host reads its call
+    Given two call hosts of which the first will be frozen at the step "none"
+    When a call's client disconnects while the first host is blocked
+    Then the call's service counted 0 executions
--- a/features/relay_faults/departed_clients.feature
+++ b/features/relay_faults/departed_clients.feature
@@ -19,3 +19,17 @@
       | /look/ | plain-1 |
       | /chat/ | model-1 |
       | /ask/  | model-1 |
+
+  # Guards against requests that are read after their clients have closed, on a
+  # host whose event loop lags.
+  Scenario Outline: Clients of <path> close before the host reads their requests
+    Given wire: a relay host
+    When wire: 10 clients request <path> and close while the host is blocked for 0.7 seconds
+    Then wire: no upstream got any of them
+    And wire: the host has nothing in flight
+
+    Examples:
+      | path   |
+      | /pay/  |
+      | /look/ |
+      | /ask/  |
--- a/features/steps/departed_caller_steps.py
+++ b/features/steps/departed_caller_steps.py
@@ -5,9 +5,11 @@
 import behave
 
 from features.steps import at_most_once_fault_steps
+from features.steps import departed_client_steps
 
 #: Within a call's deadline; a call that waits at a gate can still be sent.
 GATE_SECONDS = 0.1
+BLOCKED_SECONDS = 0.4
 #: A call that is sent after its gate has opened has arrived by then.
 WATCH_SECONDS = 0.5
 
@@ -58,6 +60,22 @@
     asyncio.run(at_most_once_fault_steps.run_with_fleet(context, act))
 
 
+@behave.when("a call's client disconnects while the first host is blocked")
+def run_with_blocked(context):
+    async def act(fleet, call):
+        request = (
+            "POST /services/entries-app/pay HTTP/1.1\r\nHost: entry\r\n"
+            f"X-Request-Id: {call.request_id}\r\n"
+            "Content-Length: 2\r\n\r\n{}"
+        )
+        departed_client_steps.send_while_blocked(
+            fleet.hosts[0].address, [request.encode()], BLOCKED_SECONDS
+        )
+        await asyncio.sleep(WATCH_SECONDS)
+
+    asyncio.run(at_most_once_fault_steps.run_with_fleet(context, act))
+
+
 async def leave(task):
     task.cancel()
     await asyncio.wait([task])
