Let upstreams of the soak go dark, and judge late runs

Cause: no fault of the soak had connections to an upstream hang, few of its callers left early, and nothing judged what ran after they had.

Change: upstreams lose power (a group of its own, so that the other faults of a seed stay), 15 in 100 callers leave early, and more than three runs over 0.5 s after their caller has left, at hosts that nothing disturbed, break a promise.

Measured: the check's rows on its own hold.

--- a/features/soak/soak.feature
+++ b/features/soak/soak.feature
@@ -58,6 +58,17 @@
       | 2      |                            |
       | 1      | served after all           |
 
+  Scenario Outline: Calls that run after their callers have left
+    Given soak: <count> calls ran <seconds> seconds after their callers had left a host that was <state>
+    Then soak: the check says "<finding>"
+
+    Examples:
+      | count | seconds | state  | finding  |
+      | 3     | 0.6     | calm   |          |
+      | 4     | 0.4     | calm   |          |
+      | 4     | 0.6     | calm   | had left |
+      | 4     | 0.6     | frozen |          |
+
   # Promises with a time hold for hosts that run; on a busy machine they may
   # not, so that the soak by hand judges them and this one does not.
   Scenario Outline: Real processes keep their promises under a seed's faults
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -89,6 +89,8 @@
         *soak_plans.GROUPS,
         *soak_plans.NETWORK_GROUPS,
         *soak_plans.SILENCE_GROUPS,
+        *soak_plans.ANNOUNCED_GROUPS,
+        *soak_plans.DARK_GROUPS,
     )
     for group, kinds, _ in groups:
         for kind in kinds:
@@ -139,6 +141,25 @@
     )
 
 
+@behave.given(
+    "soak: {count:d} calls ran {seconds:g} seconds after their callers had "
+    "left a host that was {state}"
+)
+def make_departed(context, count, seconds, state):
+    requests = [make_request("pay", "left", it) for it in range(count)]
+    for request in requests:
+        request.gave_up = True
+        change_run(request, at=request.told_at + seconds)
+    context.history = soak_histories.History(
+        workspace="w",
+        events=EVENTS,
+        seals={"u1": "seal-1"},
+        requests={it.request_id: it for it in requests},
+    )
+    if state == "frozen":
+        disturb(context)
+
+
 @behave.when("soak: nothing else happens")
 def do_nothing(context):
     assert context.request.request_id in context.history.requests
--- a/testbed/dark_listeners.py
+++ b/testbed/dark_listeners.py
@@ -14,11 +14,14 @@
 
 
 class DarkListener:
-    """An address on which connections hang until it is closed."""
+    """An address on which connections hang until it is closed.
 
-    def __init__(self) -> None:
-        port = ports.find_free_port()
-        self.address = f"{ports.ADDRESS}:{port}"
+    It is a free one, or the one given, on which nothing may listen.
+    """
+
+    def __init__(self, *, address: str = "") -> None:
+        self.address = address or f"{ports.ADDRESS}:{ports.find_free_port()}"
+        port = int(self.address.rpartition(":")[2])
         self._sockets: list[socket.socket] = []
         listener = socket.socket()
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
--- a/testbed/soak.py
+++ b/testbed/soak.py
@@ -194,6 +194,10 @@
             link.reset()
             await asyncio.sleep(fault.length)
             link.closed = False
+        if fault.kind == "goes dark" and not link.dark:
+            await link.go_dark()
+            await asyncio.sleep(fault.length)
+            await link.return_from_dark()
         if fault.kind == "drain":
             self._fleet.list_worker(name, state="draining")
             begun = time.monotonic()
--- a/testbed/soak_callers.py
+++ b/testbed/soak_callers.py
@@ -22,7 +22,7 @@
 )
 DEADLINE_SECONDS = 1.5
 #: Part of the callers that leave, and after how long, in seconds.
-LEAVING_SHARE = 0.04
+LEAVING_SHARE = 0.15
 PATIENCE = (0.005, 0.2)
 #: Time between a caller's requests, in seconds.
 PAUSE = (0.01, 0.12)
--- a/testbed/soak_histories.py
+++ b/testbed/soak_histories.py
@@ -15,6 +15,10 @@
 CONFIGURATION_SECONDS = 3.0
 #: So long after its entry says so an upstream gets nothing (``drainMs``).
 DRAIN_SECONDS = 3.0
+#: A request may run so long after its caller has left, in seconds, and a few
+#: of them may run later.
+DEPARTED_SECONDS = 0.5
+FEW = 3
 #: Part of the calm end's requests that are served at least (the pages'
 #: promise of recovery).
 LEAST_SERVED = 0.25
@@ -139,6 +143,7 @@
                 f"status {request.status}): {text}"
             )
     found += _check_announced(history)
+    found += _check_departed(history)
     if history.calm_since < float("inf"):
         found += _check_recovery(history)
     return found
@@ -213,6 +218,23 @@
                     )
 
 
+def _check_departed(history: History) -> Iterable[str]:
+    """Check that hosts send nothing for callers that have left."""
+    late = [
+        request.request_id
+        for request in history.requests.values()
+        if request.gave_up and request.told_at and not request.hung
+        for run in request.runs
+        if run.at > request.told_at + DEPARTED_SECONDS
+        and history.in_touch(request.host, request.sent_at, run.at)
+    ]
+    if len(late) > FEW:
+        yield (
+            f"{', '.join(late)}: ran over {DEPARTED_SECONDS} s after their "
+            "callers had left"
+        )
+
+
 def _check_success(history: History, request: Request) -> Iterable[str]:
     if not request.whole:
         if request.event_ids != list(range(1, len(request.event_ids) + 1)):
--- a/testbed/soak_links.py
+++ b/testbed/soak_links.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from buckthornhold.standins import users_platforms
+from testbed import dark_listeners
 
 CHUNK_BYTES = 1 << 16
 #: What a delayed link adds to each chunk, in seconds.
@@ -25,11 +26,17 @@
         self._mended = asyncio.Event()
         self._mended.set()
         self._server: asyncio.Server | None = None
+        self._dark: dark_listeners.DarkListener | None = None
         self._transports: set[asyncio.Transport] = set()
         #: Never mended for the connections that were open at a silencing.
         self._open_silence = asyncio.Event()
         self._copies: set[asyncio.Task] = set()
 
+    @property
+    def dark(self) -> bool:
+        """Whether connections hang."""
+        return self._dark is not None
+
     async def start(self) -> None:
         """Listen on a free port."""
         self._server = await asyncio.start_server(self._pass, "127.0.0.1", 0)
@@ -47,6 +54,19 @@
             self._pass, "127.0.0.1", port
         )
 
+    async def go_dark(self) -> None:
+        """Have new connections hang, and open ones pass nothing any more."""
+        self._server.close()
+        self.silence_open()
+        self._dark = dark_listeners.DarkListener(address=self.address)
+
+    async def return_from_dark(self) -> None:
+        """Reset the open connections and take new ones, after ``go_dark``."""
+        self._dark.close()
+        self._dark = None
+        self.reset()
+        await self.accept()
+
     async def stop(self) -> None:
         """End all connections and stop listening."""
         self._server.close()
--- a/testbed/soak_plans.py
+++ b/testbed/soak_plans.py
@@ -43,6 +43,9 @@
 #: What upstreams say of themselves in their answers, drawn apart as well.
 ANNOUNCED_GROUPS = (("upstream", ("says it leaves", "wants a pause"), 1),)
 ANNOUNCED_PAUSES = (2.0, 8.0)
+#: Hosts of upstreams that lose power, drawn apart as well.
+DARK_GROUPS = (("upstream", ("goes dark",), 1),)
+DARK_PAUSES = (2.0, 8.0)
 #: How long faults last, in seconds, and the time between their beginnings:
 #: shorter than they last, so that most overlap another one.
 LENGTHS = (0.4, 4.0)
@@ -90,6 +93,8 @@
     faults += _draw(silence, SILENCE_GROUPS, SILENCE_PAUSES, seconds)
     announced = random.Random(f"soak announced {seed}")
     faults += _draw(announced, ANNOUNCED_GROUPS, ANNOUNCED_PAUSES, seconds)
+    dark = random.Random(f"soak dark {seed}")
+    faults += _draw(dark, DARK_GROUPS, DARK_PAUSES, seconds)
     return sorted(faults, key=lambda it: it.start)
 
 
