Give the duty up only for a higher fencing token

Cause: the platform refuses an order with 409 for want of capacity and for an old fencing token. The adapter took it for the token where the order was not for reclaimable upstreams, and for capacity where it was.

Change: the adapter says order_refused, and the holder reads its role's record once: only a higher token there makes it give the duty up. Refused places are passed over by start_refusals, which the own interface had, for a time that grows and is spread; orders without a clear answer for a fixed time. The reserve is not ordered where it was just refused.

--- a/buckthornhold/coordination/leases.py
+++ b/buckthornhold/coordination/leases.py
@@ -98,6 +98,19 @@
             return entry
         return json.loads(entry.value)["holder"] if entry else ""
 
+    async def is_superseded(self) -> bool | reasons.Failure:
+        """Return whether the store has a higher token than this process.
+
+        Makes one call to the store.
+        """
+        lease = self.active_lease
+        if lease is None:
+            return True
+        entry = await self._store.get(self._fence_key)
+        if isinstance(entry, reasons.Failure):
+            return entry
+        return entry is not None and int(entry.value) > lease.fence
+
     def observe_fence(self, fence: int) -> None:
         """Record a fencing token that was in use, from a rejected order.
 
--- a/buckthornhold/duties.py
+++ b/buckthornhold/duties.py
@@ -1,5 +1,6 @@
 """Duties: what one host at a time does for all, and which one does it."""
 
+from buckthornhold import reasons
 from buckthornhold import tasks
 from buckthornhold.coordination import leases
 
@@ -46,6 +47,20 @@
         """Take or renew the role."""
         await self._keeper.run_once()
 
+    async def is_superseded(self) -> bool:
+        """Tell whether another host has got the role after this one.
+
+        If the store doesn't say, the lease alone decides, which another host
+        can't get before it has run out.
+        """
+        superseded = await self._keeper.is_superseded()
+        if isinstance(superseded, reasons.Failure):
+            self._logger.bind(
+                step="duty", reason=superseded.reason.value
+            ).warning(f"can't tell who has the role: {superseded.detail}")
+            return not self.held
+        return superseded
+
     async def give_up(self) -> None:
         """Give the role up, as another host has acted after this one."""
         self._keeper.observe_fence(self.fence + 1)
--- a/buckthornhold/fleet_orders.py
+++ b/buckthornhold/fleet_orders.py
@@ -82,16 +82,18 @@
         if result is None:
             self._counters.count_event("provisions.ordered")
             logger.info(text)
-            size.note_order(order, refused=False)
+            size.record_order(order)
             return
         self._counters.count_event("provisions.refused")
         logger.bind(reason=result.reason.value).warning(
             f"{text}: {result.detail}"
         )
-        if result.reason is reasons.Reason.FENCE_OLD:
+        if result.reason is not reasons.Reason.ORDER_REFUSED:
+            size.record_unanswered(order)
+        elif await self._host.duty.is_superseded():
             await self._host.duty.give_up()
-            return
-        size.note_order(order, refused=True)
+        else:
+            size.record_refusal(order)
 
     def _find_demand(self, service: str) -> float:
         """Return what callers ask of all hosts, in engine seconds a second."""
--- a/buckthornhold/fleet_sizes.py
+++ b/buckthornhold/fleet_sizes.py
@@ -15,6 +15,7 @@
 
 from buckthornhold import clouds
 from buckthornhold import routes
+from buckthornhold import start_refusals
 from buckthornhold import upstream_directories
 from buckthornhold.coordination import capacities
 
@@ -48,8 +49,11 @@
 #: How long the end of a move takes to remove upstreams, in seconds. Those that
 #: are listed longer may only be unknown to be gone.
 REMOVAL_SECONDS = 2.0
-#: How long an offer that was refused is passed over, in seconds.
-REFUSED_SECONDS = 3.0
+#: How long an offer is passed over after the first refusal, in seconds.
+REFUSED_SECONDS = 1.0
+#: How long an offer is passed over after an order without a clear answer. It
+#: may be carried out within that time.
+UNANSWERED_SECONDS = 3.0
 
 Place = tuple[str, str]
 
@@ -130,7 +134,11 @@
         self._peak = Peak(clock=clock)
         self._starting: dict[Place, _Starting] = {}
         self._ordered_at: dict[Place, float] = {}
-        self._refused: dict[Place, float] = {}
+        self._refusals = start_refusals.StartRefusals(
+            pause=REFUSED_SECONDS, clock=clock
+        )
+        #: When offers whose orders were not answered may be used again.
+        self._unanswered: dict[Place, float] = {}
         self._reclaimed: dict[str, float] = {}
         self._given_back: dict[Place, float] = {}
         self._names: dict[Place, set[str]] = {}
@@ -144,18 +152,25 @@
         since = self._asked_since
         return since is not None and self._clock() - since >= LEARN_SECONDS
 
-    def note_order(self, order: Order, *, refused: bool) -> None:
-        """Learn whether an order was taken."""
+    def record_refusal(self, order: Order) -> None:
+        """Record that there was nothing to be had for an order."""
+        self._refusals.note_refusal((order.zone, order.kind))
+
+    def record_unanswered(self, order: Order) -> None:
+        """Record that it isn't known whether an order was taken."""
+        place = (order.zone, order.kind)
+        self._unanswered[place] = self._clock() + UNANSWERED_SECONDS
+
+    def record_order(self, order: Order) -> None:
+        """Record that an order was taken."""
         place = (order.zone, order.kind)
         now = self._clock()
-        if refused:
-            self._refused[place] = now + REFUSED_SECONDS
-            return
         self._ordered_at[place] = now
         if order.count < len(self._names.get(place, ())):
             self._given_back[place] = now
         known = frozenset(self._names.get(place, ()))
         if order.count > len(known):
+            self._refusals.note_start(place)
             self._starting[place] = _Starting(
                 count=order.count - len(known), known=known, since=now
             )
@@ -204,23 +219,19 @@
             zones=tuple(offer.zone_prices),
             max_zone_hosts=offer.most,
         )
-        refused = [
-            place
-            for place, until in self._refused.items()
-            if until > self._clock()
-        ]
+        refused = self._list_refused()
         wanted = capacities.choose_cheapest(
             need, offers, held, refused=refused
         )
         if any(it.reclaimable for it in offers):
-            add_reserve(
-                wanted, math.ceil(RESERVE_SHARE * need.min_surviving_hosts)
-            )
+            reserve = math.ceil(RESERVE_SHARE * need.min_surviving_hosts)
+            add_reserve(wanted, reserve, refused=refused)
         wanted = clamp_zones(wanted, offer)
         orders = [
             Order(zone=zone, kind=kind, count=count)
             for (zone, kind), count in wanted.items()
             if count > held.get((zone, kind), 0)
+            and (zone, kind) not in refused
         ]
         if self._is_removing(removed):
             return []
@@ -230,6 +241,14 @@
             return []
         return self._plan_less(ready, wanted, need, offer)
 
+    def _list_refused(self) -> set[Place]:
+        """Return the offers that are passed over now."""
+        now = self._clock()
+        unanswered = {
+            place for place, until in self._unanswered.items() if until > now
+        }
+        return unanswered.union(self._refusals.list_places())
+
     def _is_removing(
         self, removed: Collection[upstream_directories.UpstreamRecord]
     ) -> bool:
@@ -350,10 +369,16 @@
     return tuple(offers)
 
 
-def add_reserve(wanted: dict[Place, int], count: int) -> None:
-    """Have so many that can't be reclaimed, beside what may be."""
+def add_reserve(
+    wanted: dict[Place, int], count: int, *, refused: Collection[Place] = ()
+) -> None:
+    """Have so many that can't be reclaimed, beside what may be.
+
+    They are added where none were refused lately.
+    """
     places = [(zone, ON_DEMAND) for zone, _ in sorted(wanted)]
     missing = count - sum(wanted.get(place, 0) for place in set(places))
+    places = [place for place in places if place not in refused]
     for place in itertools.islice(itertools.cycle(places), max(0, missing)):
         wanted[place] = wanted.get(place, 0) + 1
 
--- a/buckthornhold/platform/fenced_clients.py
+++ b/buckthornhold/platform/fenced_clients.py
@@ -8,6 +8,7 @@
 
 #: No request waits for such a call, and it is retried.
 TIMEOUT_SECONDS = 3.0
+ORDER_CALL = "scale"
 
 
 class PlatformFencedClient(usages.FencedClient):
@@ -41,7 +42,7 @@
         body = {"service": service, "zone": zone, "desired": count}
         if reclaimable:
             body["spot"] = True
-        return await self._call("scale", body, fence)
+        return await self._call(ORDER_CALL, body, fence)
 
     async def _call(
         self, name: str, body: dict, fence: int
@@ -69,12 +70,11 @@
         detail = f"status {response.status}: {text[:200]}"
         if response.status != 409:
             return self._fail(reasons.Reason.STORE_UNAVAILABLE, name, detail)
-        # The platform answers 409 to an old fencing token and to an order
-        # without capacity. Only orders of reclaimable upstreams can get the
-        # latter.
+        # The platform answers 409 to an old fencing token, and to an order
+        # also if it has no capacity.
         reason = reasons.Reason.FENCE_OLD
-        if body.get("spot"):
-            reason = reasons.Reason.NO_ROOM
+        if name == ORDER_CALL:
+            reason = reasons.Reason.ORDER_REFUSED
         return self._fail(reason, name, detail)
 
     def _fail(self, reason, step, detail, *, ran=reasons.Ran.NO):
--- a/buckthornhold/reasons.py
+++ b/buckthornhold/reasons.py
@@ -41,6 +41,7 @@
     NO_UPSTREAM = "no_upstream"
     NOT_AUTHORIZED = "not_authorized"
     ORDER_OVERRIDDEN = "order_overridden"
+    ORDER_REFUSED = "order_refused"
     OUTCOME_UNKNOWN = "outcome_unknown"
     POISON_REQUEST = "poison_request"
     RETRY_BUDGET = "retry_budget"
--- a/buckthornhold/start_refusals.py
+++ b/buckthornhold/start_refusals.py
@@ -1,5 +1,6 @@
 """Start refusals: offers of which the cloud lately started no host."""
 
+from collections.abc import Callable
 import dataclasses
 import random
 import time
@@ -20,11 +21,15 @@
     """Keeps offers out of the choice for a while after a refusal.
 
     The pause doubles with each refusal in a row. It would else be over
-    before all cheaper offers were tried, and a dear one never reached.
+    before all cheaper offers were tried, and a dear one never reached. The
+    first lasts up to ``pause`` seconds.
     """
 
-    def __init__(self, *, pause: float) -> None:
+    def __init__(
+        self, *, pause: float, clock: Callable[[], float] = time.monotonic
+    ) -> None:
         self._pause = pause
+        self._clock = clock
         self._refusals: dict[tuple[str, str], Refusal] = {}
 
     def note_refusal(self, place: tuple[str, str]) -> None:
@@ -32,7 +37,7 @@
         refusal = self._refusals.setdefault(place, Refusal())
         longest = self._pause * min(2**refusal.count, LONGEST_PAUSES)
         refusal.count += 1
-        refusal.until = time.monotonic() + random.uniform(longest / 2, longest)
+        refusal.until = self._clock() + random.uniform(longest / 2, longest)
 
     def note_start(self, place: tuple[str, str]) -> None:
         """Take in that the cloud starts hosts in a zone and class."""
@@ -40,7 +45,7 @@
 
     def list_places(self) -> list[tuple[str, str]]:
         """Return the zones and classes that are not to be tried now."""
-        now = time.monotonic()
+        now = self._clock()
         return sorted(
             place
             for place, refusal in self._refusals.items()
--- a/buckthornhold/tools/meanings.py
+++ b/buckthornhold/tools/meanings.py
@@ -131,6 +131,7 @@
     "no_upstream": "No upstream may take the request now.",
     "not_authorized": "The token or the workspace is not allowed this.",
     "order_overridden": "Other orders undid this one each time.",
+    "order_refused": "None to be had, or another host holds the duty.",
     "outcome_unknown": "The call may have been run or not.",
     "poison_request": "The request crashed the upstreams that ran it.",
     "retry_budget": "The host has used up its retries; ask later.",
--- a/buckthornhold/usages.py
+++ b/buckthornhold/usages.py
@@ -37,7 +37,7 @@
     """Client of the platform's calls that only the duty's holder may make.
 
     Each call carries the holder's fencing token. ``failure.reason`` is
-    ``FENCE_OLD`` if the platform has seen a higher token.
+    ``FENCE_OLD`` only if the platform has seen a higher token.
     """
 
     @abc.abstractmethod
@@ -58,7 +58,8 @@
     ) -> None | reasons.Failure:
         """Order a number of upstreams of a service in a zone.
 
-        ``failure.reason`` is ``NO_ROOM`` if none are available now.
+        ``failure.reason`` is ``ORDER_REFUSED`` if none are available now or
+        a higher token was seen, and the platform doesn't tell which.
         """
 
 
--- a/features/relays/fleet_sizes.feature
+++ b/features/relays/fleet_sizes.feature
@@ -28,6 +28,25 @@
     When sizes: the demand is 2 engines for 60 seconds
     Then sizes: there are at most 2 on-demand upstreams
 
+  # Guards against ordering again and again where there is nothing to be had,
+  # in place of other zones.
+  Scenario Outline: Zone <zone> is reclaimed and has nothing to give
+    Given sizes: 3 zones with 3 on-demand upstreams each
+    When sizes: the demand is <demand> engines for 30 seconds
+    And sizes: zone <zone> is reclaimed and has nothing to give for 14 seconds
+    And sizes: the demand is <demand> engines for 20 seconds
+    Then sizes: there was always enough capacity
+    And sizes: at most 10 orders were refused
+    When sizes: the demand is <demand> engines for 60 seconds
+    Then sizes: there are at most 2 on-demand upstreams
+
+    Examples:
+      | zone | demand |
+      | a    | 2      |
+      | a    | 3      |
+      | b    | 3      |
+      | c    | 2      |
+
   Scenario: A second zone is reclaimed before replacements have started
     Given sizes: 3 zones with 3 on-demand upstreams each
     When sizes: the demand is 3 engines for 30 seconds
--- a/features/steps/relay_sizes_steps.py
+++ b/features/steps/relay_sizes_steps.py
@@ -32,6 +32,9 @@
         self.end_times = {}
         self.starting = []
         self.no_capacity_until = -1.0
+        #: Zones that have no upstreams of any kind to give, until when.
+        self.dry_until = {}
+        self.refused_orders = 0
         self.overload_ticks = 0
         self.rollout_running = False
         #: Upstreams that the end of a move removes, and when.
@@ -148,9 +151,13 @@
             and no_capacity
             and order.kind == fleet_sizes.RECLAIMABLE
         )
-        self.size.note_order(order, refused=refused)
+        if missing > 0 and self.now < self.dry_until.get(order.zone, 0.0):
+            refused = True
+        self.refused_orders += refused
         if refused:
+            self.size.record_refusal(order)
             return
+        self.size.record_order(order)
         for _ in range(missing):
             self.starting.append(
                 (self.now + START_SECONDS, order.zone, order.kind)
@@ -190,6 +197,20 @@
     context.cloud.reclaim(zone, seconds)
 
 
+@behave.when(
+    "sizes: zone {zone} is reclaimed and has nothing to give for {seconds:g} "
+    "seconds"
+)
+def dry_zone(context, zone, seconds):
+    context.cloud.reclaim(zone, seconds)
+    context.cloud.dry_until[zone] = context.cloud.now + seconds
+
+
+@behave.then("sizes: at most {count:d} orders were refused")
+def check_refused(context, count):
+    assert context.cloud.refused_orders <= count, context.cloud.refused_orders
+
+
 @behave.then("sizes: there are at most {count:d} on-demand upstreams")
 def check_few_on_demand(context, count):
     found = context.cloud.list_staying(kind=fleet_sizes.ON_DEMAND)
--- a/testbed/relay_fleets.py
+++ b/testbed/relay_fleets.py
@@ -221,8 +221,19 @@
             },
         )
 
-    def configure(self, *, keys=(API_KEY,), service=PLAIN_SERVICE, **limits):
-        """Write a configuration with the next version number."""
+    def configure(
+        self,
+        *,
+        keys=(API_KEY,),
+        service=PLAIN_SERVICE,
+        scale: dict | None = None,
+        **limits,
+    ):
+        """Write a configuration with the next version number.
+
+        With ``scale``, upstreams of models can be ordered by these terms.
+        """
+        scaled = {"scale": scale} if scale else {}
         self.version += 3
         kinds = (
             ("pay", "non_idempotent", service, 1, False),
@@ -251,7 +262,7 @@
                 "version": self.version,
                 "routes": routes,
                 "services": [
-                    {"name": MODEL_SERVICE, "maxConnections": 50},
+                    {"name": MODEL_SERVICE, "maxConnections": 50, **scaled},
                     {"name": PLAIN_SERVICE, "maxConnections": 50},
                 ],
                 "tenants": [
