Wait for the refusal's log line before it is judged

Cause: a thread writes the log, so a caller can hold the answer before the line stands in the log.

Change: the step waits up to 3 s for the line. The checks on it, that there is exactly one, with step, reason and level, are as before.

Measured: 1 of about 12 runs failed so beside a whole test run (load 6), in the step named. Not rerun to judge the change but once it has landed.

--- a/features/steps/logs_steps.py
+++ b/features/steps/logs_steps.py
@@ -95,12 +95,25 @@
             assert line["zone"] == entry.zone, line
 
 
-@behave.then("the refusal's line has its request id, step and reason")
-def check_refusal_line(context):
+def _find_chat_lines(context):
+    """Return the first host's log lines about the chat.
+
+    A thread writes them, at times only after the answer has been read.
+    """
     lines = map(json.loads, context.fleet.entries[0].log.splitlines())
-    found = [
+    return [
         line for line in lines if line["request_id"] == context.chat.request_id
     ]
+
+
+@behave.then("the refusal's line has its request id, step and reason")
+def check_refusal_line(context):
+    machines.wait_until(
+        lambda: _find_chat_lines(context),
+        timeout=3.0,
+        what="the refusal is logged",
+    )
+    found = _find_chat_lines(context)
     assert len(found) == 1, found
     assert found[0]["step"] == "version", found
     assert found[0]["reason"] == "unknown_model", found
