Hold requests and responses within a process's memory

Cause: body_budget counted the bodies of a host, with a default that is larger than a small host's memory, and counted them once they had been read.

Change: memory_budgets.MemoryBudget counts what requests and responses hold against `memory_limit` (256 MB unless set); both interfaces use it. Long bodies stay in their clients' connections, with short receive buffers, until there is room; they get it in their order, within a share for each workspace, and are refused at once as host_full with a spread Retry-After if they can't get it soon. Short bodies have room of their own. request_bodies reads a body into what it reserved and sends it in parts without a copy; it is given up once answered and not repeatable. Long responses are limited as well.

--- a/buckthornhold/admissions.py
+++ b/buckthornhold/admissions.py
@@ -1,4 +1,4 @@
-"""Admission control by requests in flight and bytes of bodies."""
+"""Admission control by requests in flight."""
 
 import asyncio
 import contextlib
@@ -7,19 +7,12 @@
 
 
 class AdmissionController:
-    """Limits the requests in flight and the bodies that are being read.
+    """Limits the requests in flight."""
 
-    ``body_budget`` is the limit on the bytes of these bodies together.
-    """
-
-    def __init__(
-        self, *, max_in_flight: int, body_budget: int, retry_after: float
-    ) -> None:
+    def __init__(self, *, max_in_flight: int, retry_after: float) -> None:
         self._max_in_flight = max_in_flight
-        self._body_budget = body_budget
         self._retry_after = retry_after
         self._in_flight = 0
-        self._body_bytes = 0
         self._active_count = 0
         self._draining = False
         self._idle = asyncio.Event()
@@ -39,37 +32,26 @@
         """Admit no new requests from now on."""
         self._draining = True
 
-    def check(
-        self, *, ready: bool, body_size: int = 0
-    ) -> reasons.Failure | None:
-        """Return why a request can't be admitted now, or None.
-
-        ``body_size`` is in bytes.
-        """
+    def check(self, *, ready: bool) -> reasons.Failure | None:
+        """Return why a request can't be admitted now, or None."""
         if self._draining:
             return self._refuse(reasons.Reason.HOST_DRAINING)
         if not ready:
             return self._refuse(reasons.Reason.HOST_NOT_READY)
         if self._in_flight >= self._max_in_flight:
             return self._refuse(reasons.Reason.HOST_FULL)
-        if self._body_bytes and (
-            self._body_bytes + body_size > self._body_budget
-        ):
-            return self._refuse(reasons.Reason.HOST_FULL)
         return None
 
     @contextlib.contextmanager
-    def track_body(self, size: int):
-        """Count the bytes of one body while it is read.
+    def track_body(self):
+        """Keep the host from being idle while a body is read.
 
-        The host isn't idle meanwhile, since the client expects an answer.
+        Its client expects an answer.
         """
-        self._body_bytes += size
         self._add_active()
         try:
             yield
         finally:
-            self._body_bytes -= size
             self._remove_active()
 
     @contextlib.contextmanager
--- a/buckthornhold/callers.py
+++ b/buckthornhold/callers.py
@@ -2,7 +2,6 @@
 
 import asyncio
 
-import aiohttp
 from aiohttp import web
 
 from buckthornhold import calls
@@ -10,7 +9,9 @@
 from buckthornhold import connections
 from buckthornhold import headers
 from buckthornhold import logs
+from buckthornhold import memory_budgets
 from buckthornhold import reasons
+from buckthornhold import request_bodies
 from buckthornhold import signals
 from buckthornhold import values
 
@@ -20,6 +21,8 @@
     405: reasons.Reason.METHOD_NOT_ALLOWED,
     413: reasons.Reason.BODY_TOO_LARGE,
 }
+#: Key of a request's hold on the process's memory.
+HOLD = "hold"
 #: Parts of paths that go on to an upstream and must be plain names.
 NAMES_IN_PATHS = ("service", "operation")
 
@@ -59,8 +62,16 @@
         """Answer one request, whatever happens to it."""
         connection = request.protocol
         connection.answering = True
+        hold = self._host.memory.open(
+            workspace=request.headers.get(headers.WORKSPACE, "")
+        )
+        request[HOLD] = hold
         try:
             response = await self._route(request)
+            hold.release()
+            response = await request_bodies.send_long(
+                request, response, self._host.memory
+            )
         except asyncio.CancelledError:
             self._end_early(request, "connection closed")
             raise
@@ -72,6 +83,7 @@
                 raise
             response = self._refuse_after_error(request, error)
         finally:
+            hold.release()
             connection.answering = False
         if self._host.admissions.draining and not response.prepared:
             response.force_close()
@@ -155,9 +167,13 @@
             {"ready": ready}, status=200 if ready else 503
         )
 
-    async def accept(self, request) -> bytes | reasons.Failure:
+    async def accept(
+        self, request, *, copies: int = 1
+    ) -> bytes | reasons.Failure:
         """Check admission and read the whole body.
 
+        It is kept in so many copies until the request was answered.
+
         Admission is checked again behind the body, since the host may have
         begun to drain meanwhile. From then on nothing may be awaited before
         the request is held.
@@ -168,14 +184,10 @@
             failure = self._check_request(request)
         if failure is not None:
             return failure
-        if request.content.is_eof():
-            return await self._read_body(request)
-        size = request.content_length
-        if size is None:
-            size = self._host.settings.body_limit
-        with self._host.admissions.track_body(size):
-            body = await self._read_slowly(request)
-        if isinstance(body, reasons.Failure):
+        arrived = request.content.is_eof()
+        with self._host.admissions.track_body():
+            body = await self._read_body(request, copies)
+        if isinstance(body, reasons.Failure) or arrived:
             return body
         return self._check_request(request) or body
 
@@ -183,9 +195,7 @@
         size = request.content_length or 0
         if size > self._host.settings.body_limit:
             return self._describe_large_body()
-        return self._host.admissions.check(
-            ready=self._host.ready, body_size=size
-        )
+        return self._host.admissions.check(ready=self._host.ready)
 
     def _describe_large_body(self) -> reasons.Failure:
         return reasons.Failure(
@@ -194,30 +204,28 @@
             detail=f"the limit is {self._host.settings.body_limit} bytes",
         )
 
-    async def _read_slowly(self, request) -> bytes | reasons.Failure:
-        """Read a body that has not arrived whole, for a limited time."""
-        timeout = self._host.settings.body_timeout
-        try:
-            async with asyncio.timeout(timeout):
-                return await self._read_body(request)
-        except TimeoutError:
-            return reasons.Failure(
-                reason=reasons.Reason.CALLER_TOO_SLOW,
-                step="read body",
-                detail=f"not within {timeout} s",
-            )
-
-    async def _read_body(self, request) -> bytes | reasons.Failure:
-        try:
-            return await request.read()
-        except web.HTTPRequestEntityTooLarge:
-            return self._describe_large_body()
-        except (aiohttp.ClientError, web.RequestPayloadError) as error:
-            return reasons.Failure(
-                reason=reasons.Reason.BAD_REQUEST,
-                step="read body",
-                detail=f"the body can't be read: {error!r}"[:200],
+    async def _read_body(
+        self, request, copies: int
+    ) -> bytes | reasons.Failure:
+        """Read a body; it counts as held until its request was answered."""
+        config = self._host.settings
+        hold = request[HOLD]
+        body = await request_bodies.read_body(
+            request,
+            hold=hold,
+            limit=config.body_limit,
+            timeout=config.body_timeout,
+            seconds_left=config.request_deadline,
+        )
+        if isinstance(body, reasons.Failure):
+            return body
+        if len(body) > memory_budgets.SHORT_BYTES:
+            failure = await hold.reserve(
+                copies * len(body), seconds_left=config.request_deadline
             )
+            if failure is not None:
+                return failure
+        return bytes(body)
 
     def refuse(
         self, request_id: str, failure: reasons.Failure
--- a/buckthornhold/chats.py
+++ b/buckthornhold/chats.py
@@ -19,6 +19,10 @@
 from buckthornhold import writers
 from buckthornhold.coordination import handovers
 
+#: Forms in which a prompt is kept until its request was answered: the body,
+#: the parsed messages, the joined prompt and what is sent to an engine.
+PROMPT_COPIES = 4
+
 
 class Message(pydantic.BaseModel):
     """One message of a chat."""
@@ -64,7 +68,7 @@
             return await self.handle_return(request)
         request_id = headers.find_request_id(request)
         self._host.counters.count_event("requests.model")
-        body = await self._listener.accept(request)
+        body = await self._listener.accept(request, copies=PROMPT_COPIES)
         if isinstance(body, reasons.Failure):
             return self._listener.refuse(request_id, body)
         try:
--- a/buckthornhold/configurations.py
+++ b/buckthornhold/configurations.py
@@ -46,6 +46,10 @@
         """Version of the active configuration, 0 before the first."""
         return self._current.version if self._current else 0
 
+    def count_workspaces(self) -> int:
+        """Return how many workspaces there are."""
+        return len(self._current.workspaces) if self._current else 0
+
     def register_topic(self, broadcast: broadcasts.Broadcasts) -> None:
         """Let hosts with an older version pull the document from this one."""
         broadcast.add_topic(
--- a/buckthornhold/connections.py
+++ b/buckthornhold/connections.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import http
 import select
+import socket
 import time
 
 import aiohttp
@@ -16,6 +17,11 @@
 SWEEP_INTERVAL = 0.5
 #: For how long what is left of a refused body is read, in seconds.
 LINGERING_TIME = 2.0
+#: What the system may hold of a connection that is not read, in bytes. It
+#: would hold whole bodies that wait for room otherwise.
+RECEIVE_BUFFER_BYTES = 32 << 10
+#: What this process holds of it before it stops to read, in bytes.
+READ_BUFFER_BYTES = 16 << 10
 
 #: An answer outside of any request.
 BARE_ANSWER = (
@@ -197,6 +203,7 @@
             access_log=None,
             keepalive_timeout=self._find_keepalive(),
             lingering_time=LINGERING_TIME,
+            read_bufsize=READ_BUFFER_BYTES,
         )
 
     def _make_caller_request(
@@ -215,6 +222,25 @@
         )
 
 
+def make_caller_socket(address: str) -> socket.socket:
+    """Return a bound socket for callers' connections, with small buffers.
+
+    Raises OSError if the address is taken.
+    """
+    ip, port = settings.split_address(address)
+    bound = socket.socket()
+    try:
+        bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        bound.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
+        bound.bind((ip, port))
+    except OSError:
+        bound.close()
+        raise
+    return bound
+
+
 def check_connected(request: web.BaseRequest) -> reasons.Failure | None:
     """Return a failure if a request's client has closed its connection.
 
--- a/buckthornhold/daemons.py
+++ b/buckthornhold/daemons.py
@@ -28,6 +28,7 @@
 from buckthornhold import listings
 from buckthornhold import load_trackers
 from buckthornhold import logs
+from buckthornhold import memory_budgets
 from buckthornhold import poison_guards
 from buckthornhold import probes
 from buckthornhold import provisioners
@@ -60,6 +61,8 @@
 BACKGROUND_TIMEOUT = 1.0
 HAND_OVER_SECONDS = 2.0
 RULES_PREFIX = "rules"
+#: Rules need not name all workspaces, so none may have all memory.
+ASSUMED_WORKSPACES = 2
 
 
 class EntryHost(mode.Service):
@@ -77,9 +80,11 @@
         )
         self.admissions = admissions.AdmissionController(
             max_in_flight=config.max_in_flight,
-            body_budget=config.body_budget,
             retry_after=config.retry_after,
         )
+        self.memory = memory_budgets.make_budget(
+            config, lambda: ASSUMED_WORKSPACES
+        )
         self.loads = load_trackers.LoadTracker(
             host=self, interval=config.load_interval
         )
--- a/buckthornhold/footprints.py
+++ b/buckthornhold/footprints.py
@@ -24,8 +24,13 @@
     "grpc_tools",
 )
 
-#: glibc's name for the greatest number of allocation areas (``malloc.h``).
+#: glibc's names of options (``malloc.h``): the greatest number of allocation
+#: areas, and the size from which on memory is given back as it is freed.
 M_ARENA_MAX = -8
+M_MMAP_THRESHOLD = -3
+#: Without a fixed size, glibc keeps freed blocks as long as bodies for others.
+#: asyncio allocates 256 KB for each read, which is not to be given back.
+MMAP_THRESHOLD_BYTES = 512 << 10
 
 
 def reduce() -> None:
@@ -38,10 +43,14 @@
 
 
 def limit_arenas() -> None:
-    """Let all threads allocate from one area, if the C library is glibc."""
+    """Let all threads allocate from one area, if the C library is glibc.
+
+    Long bodies are given back to the system as soon as they are freed.
+    """
     set_option = getattr(ctypes.CDLL(None), "mallopt", None)
     if set_option is not None:
         set_option(M_ARENA_MAX, 1)
+        set_option(M_MMAP_THRESHOLD, MMAP_THRESHOLD_BYTES)
 
 
 def hasten_start() -> None:
--- a/buckthornhold/http_engines.py
+++ b/buckthornhold/http_engines.py
@@ -13,6 +13,7 @@
 from buckthornhold import clients
 from buckthornhold import engine_events
 from buckthornhold import engines
+from buckthornhold import memory_budgets
 from buckthornhold import reasons
 
 END_TIMEOUT_SECONDS = 0.05
@@ -32,14 +33,14 @@
         session: aiohttp.ClientSession,
         address: str,
         timeout: float,
-        budget: bodies.Budget,
+        memory: memory_budgets.MemoryBudget,
         announce: Callable[[backoffs.Announcement], None] = backoffs.ignore,
     ) -> None:
         self._announce = announce
         self._session = session
         self._address = address
         self._timeout = timeout
-        self._budget = budget
+        self._memory = memory
 
     @property
     def address(self) -> str:
@@ -136,7 +137,8 @@
             )
 
     async def _read_text(self, response: aiohttp.ClientResponse) -> str:
-        body = await bodies.read_body(response.content, budget=self._budget)
+        with self._memory.hold_response() as hold:
+            body = await bodies.read_body(response.content, hold=hold)
         return body.decode(errors="replace")
 
     def _make_reader(
--- a/buckthornhold/listeners.py
+++ b/buckthornhold/listeners.py
@@ -53,7 +53,12 @@
         """Answer callers; return the server of their connections."""
         server = callers.CallerListener(host=self._host).make_server()
         runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_TIMEOUT)
-        await self._open(runner, self._host.settings.listen.callers)
+        bound = connections.make_caller_socket(
+            self._host.settings.listen.callers
+        )
+        await runner.setup()
+        self._runners.append(runner)
+        await web.SockSite(runner, bound).start()
         return server
 
     async def open_for_peers(self) -> None:
--- a/buckthornhold/platform/adapters.py
+++ b/buckthornhold/platform/adapters.py
@@ -45,9 +45,11 @@
         """Return the HTTP session for requests to upstreams."""
         return upstream_clients.make_session()
 
-    def make_upstream_client(self, session):
+    def make_upstream_client(self, session, memory):
         """Return the client that sends requests to upstreams."""
-        return upstream_clients.PlatformUpstreamClient(session=session)
+        return upstream_clients.PlatformUpstreamClient(
+            session=session, memory=memory
+        )
 
     def make_duty_calls(self, session, config):
         """Return the client of the calls that only the holder may make."""
--- a/buckthornhold/platform/http_headers.py
+++ b/buckthornhold/platform/http_headers.py
@@ -63,12 +63,12 @@
     """A caller's request as it is forwarded to an upstream.
 
     ``target`` is the path with the query, unchanged from the caller.
+    ``has_body`` tells whether a body, if only an empty one, is sent.
     """
 
     method: str
     target: str
     headers: multidict.CIMultiDict
-    body: bytes
     has_body: bool
 
 
--- a/buckthornhold/platform/ingress.py
+++ b/buckthornhold/platform/ingress.py
@@ -1,10 +1,8 @@
 """Ingress: HTTP server for callers' requests on the platform's wire."""
 
-import asyncio
 import http
 import time
 
-import aiohttp
 from aiohttp import web
 
 from buckthornhold import connections
@@ -12,6 +10,7 @@
 from buckthornhold import reasons
 from buckthornhold import relay_messages
 from buckthornhold import relay_requests
+from buckthornhold import request_bodies
 from buckthornhold import request_contracts
 from buckthornhold import routes
 from buckthornhold.platform import http_headers
@@ -90,7 +89,10 @@
         request.protocol.answering = True
         with self._host.admissions.track_request():
             try:
-                return await self._relay(request, received_at)
+                response = await self._relay(request, received_at)
+                return await request_bodies.send_long(
+                    request, response, self._host.memory
+                )
             finally:
                 if request.protocol is not None:
                     request.protocol.answering = False
@@ -143,16 +145,35 @@
         for value in (deadline, counts, parts):
             if isinstance(value, reasons.Failure):
                 return value
-        body = await self._read_body(request)
-        if isinstance(body, reasons.Failure):
-            return body
-        departed = connections.check_connected(request)
-        if departed is not None:
-            return departed
+        hold = self._host.memory.open(
+            workspace=match.workspace.name if match.workspace else ""
+        )
+        admitted: relay_messages.RelayRequest | reasons.Failure | None = None
+        try:
+            body = await self._read_body(request, hold, match, deadline)
+            if isinstance(body, reasons.Failure):
+                return body
+            departed = connections.check_connected(request)
+            if departed is not None:
+                return departed
+            admitted = self._admit(
+                request, match, received_at, (deadline, counts, parts), body
+            )
+            return admitted
+        finally:
+            if not isinstance(admitted, relay_messages.RelayRequest):
+                hold.release()
+
+    def _admit(
+        self, request, match, received_at, values, body
+    ) -> relay_messages.RelayRequest | reasons.Failure:
+        """Admit a request that was read and whose headers are valid."""
+        deadline, counts, parts = values
+        target = request.raw_path
         return self._host.relay_handler.admit_request(
             match,
             relay_requests.RequestParameters(
-                request_id=request_id,
+                request_id=request.headers[http_headers.REQUEST_ID],
                 received_at=received_at,
                 timeout_seconds=deadline / 1000
                 if deadline is not None
@@ -163,41 +184,42 @@
                 resume_after=request.headers.get(
                     http_headers.LAST_EVENT_ID, ""
                 ),
-                content_parts=(request.method.encode(), target.encode(), body),
+                content_parts=(
+                    request.method.encode(),
+                    target.encode(),
+                    body.data,
+                ),
             ),
             http_headers.ForwardedRequest(
                 method=request.method,
                 target=target,
                 headers=http_headers.filter_request_headers(request.headers),
-                body=body,
                 has_body=request.body_exists,
             ),
+            body,
         )
 
-    async def _read_body(self, request) -> bytes | reasons.Failure:
-        limits = self._host.configurations.current.limits
-        if (request.content_length or 0) > limits.body_bytes:
-            return _fail(
-                reasons.Reason.BODY_TOO_LARGE,
-                f"the limit is {limits.body_bytes} bytes",
-            )
-        if "Expect" in request.headers:
+    async def _read_body(
+        self, request, hold, match, deadline
+    ) -> request_bodies.RequestBody | reasons.Failure:
+        limit = self._host.configurations.current.limits.body_bytes
+        if "Expect" in request.headers and (
+            (request.content_length or 0) <= limit
+        ):
             request.transport.write(CONTINUE_RESPONSE)
-        if not request.body_exists:
-            return b""
-        try:
-            async with asyncio.timeout(self._host.settings.body_timeout):
-                return await request.read()
-        except TimeoutError:
-            return _fail(
-                reasons.Reason.CALLER_TOO_SLOW, "body not received in time"
-            )
-        except web.HTTPRequestEntityTooLarge:
-            return _fail(
-                reasons.Reason.BODY_TOO_LARGE, "body exceeds the limit"
-            )
-        except (aiohttp.ClientError, web.RequestPayloadError) as error:
-            return _fail(reasons.Reason.BAD_REQUEST, repr(error)[:200])
+        seconds_left = match.route.timeout
+        if deadline is not None:
+            seconds_left = min(seconds_left, deadline / 1000)
+        data = await request_bodies.read_body(
+            request,
+            hold=hold,
+            limit=limit,
+            timeout=self._host.settings.body_timeout,
+            seconds_left=seconds_left,
+        )
+        if isinstance(data, reasons.Failure):
+            return data
+        return request_bodies.RequestBody(data=data, hold=hold)
 
     def _refuse(
         self,
--- a/buckthornhold/platform/upstream_clients.py
+++ b/buckthornhold/platform/upstream_clients.py
@@ -12,9 +12,11 @@
 from buckthornhold import backoffs
 from buckthornhold import bodies
 from buckthornhold import clients
+from buckthornhold import memory_budgets
 from buckthornhold import reasons
 from buckthornhold import relay_messages
 from buckthornhold import relay_upstreams
+from buckthornhold import request_bodies
 from buckthornhold.platform import http_headers
 
 #: An upstream that runs accepts a connection within milliseconds, so after a
@@ -75,12 +77,12 @@
         response: aiohttp.ClientResponse,
         *,
         peer: str,
-        budget: bodies.Budget,
+        hold: memory_budgets.Hold,
     ) -> None:
         self._response = response
         self._peer = peer
-        self._budget = budget
-        self._event_body = bodies.Body(budget=budget, limit=MAX_EVENT_BYTES)
+        self._hold = hold
+        self._event_body = bodies.Body(hold=hold, limit=MAX_EVENT_BYTES)
         self._end = bodies.BodyEnd(response)
         self._buffer = b""
         self._complete = False
@@ -103,7 +105,7 @@
         """Return the whole body."""
         try:
             body = await bodies.read_body(
-                self._response.content, budget=self._budget
+                self._response.content, hold=self._hold
             )
             self._end.check()
         except (aiohttp.ClientError, OSError) as error:
@@ -140,7 +142,7 @@
 
     def close(self) -> None:
         """Release the connection, or close it if the body isn't read."""
-        self._event_body.release()
+        self._hold.release()
         if self._complete:
             self._response.release()
         else:
@@ -159,9 +161,14 @@
 class PlatformUpstreamClient(relay_messages.UpstreamClient):
     """Sends requests to upstreams."""
 
-    def __init__(self, *, session: aiohttp.ClientSession) -> None:
+    def __init__(
+        self,
+        *,
+        session: aiohttp.ClientSession,
+        memory: memory_budgets.MemoryBudget,
+    ) -> None:
         self._session = session
-        self._budget = bodies.Budget()
+        self._memory = memory
 
     async def open(
         self,
@@ -184,7 +191,7 @@
                 message.method,
                 url,
                 headers=fields,
-                data=message.body if message.has_body else None,
+                data=_make_body(message, request.body.data, fields),
                 allow_redirects=False,
                 trace_request_ctx=request.dispatch.mark_sent,
             )
@@ -270,10 +277,20 @@
                 f"status {response.status}, not run",
             )
         return PlatformUpstreamResponse(
-            response, peer=upstream.name, budget=self._budget
+            response, peer=upstream.name, hold=self._memory.open_response()
         )
 
 
+def _make_body(message: http_headers.ForwardedRequest, body, fields):
+    """Return the body to send; a long one is sent in parts."""
+    if not message.has_body:
+        return None
+    if len(body) <= memory_budgets.SHORT_BYTES:
+        return body
+    fields["Content-Length"] = str(len(body))
+    return request_bodies.list_parts(body)
+
+
 def _fail(reason, upstream, ran, detail) -> reasons.Failure:
     return reasons.Failure(
         reason=reason,
--- a/buckthornhold/relay_hosts.py
+++ b/buckthornhold/relay_hosts.py
@@ -27,6 +27,7 @@
 from buckthornhold import fleet_sizes
 from buckthornhold import links
 from buckthornhold import logs
+from buckthornhold import memory_budgets
 from buckthornhold import metrics
 from buckthornhold import probes
 from buckthornhold import quotas
@@ -43,7 +44,6 @@
 from buckthornhold import relay_upstreams
 from buckthornhold import relay_watchers
 from buckthornhold import rosters
-from buckthornhold import routes
 from buckthornhold import store_readers
 from buckthornhold import summaries
 from buckthornhold import tasks
@@ -88,9 +88,7 @@
         )
         self.metrics = metrics.Metrics(counts=self.counters)
         self.admissions = admissions.AdmissionController(
-            max_in_flight=config.max_in_flight,
-            body_budget=config.body_budget,
-            retry_after=config.retry_after,
+            max_in_flight=config.max_in_flight, retry_after=config.retry_after
         )
         self.background = tasks.TaskSet(
             logger=self.logger, counters=self.counters
@@ -130,7 +128,10 @@
             key=platform.configuration_key,
             decode=platform.decode_configuration,
             logger=self.logger,
-            notify=self._handle_configuration,
+            notify=lambda _: self.counters.count_event("revisions.adopted"),
+        )
+        self.memory = memory_budgets.make_budget(
+            config, self.configurations.count_workspaces
         )
         self.directory = upstream_directories.UpstreamDirectory(
             prefix=platform.directory_prefix,
@@ -214,7 +215,7 @@
         )
         self.store = self._platform.make_store(session, config)
         self.upstream_client = self._platform.make_upstream_client(
-            upstream_session
+            upstream_session, self.memory
         )
         self.prober = failure_detectors.FailureDetector(
             table=self.members,
@@ -385,11 +386,6 @@
         )
         self.links.take_member(member)
 
-    def _handle_configuration(
-        self, configuration: routes.Configuration
-    ) -> None:
-        self.counters.count_event("revisions.adopted")
-
     def _handle_directory_change(self) -> None:
         self.upstreams.refresh()
 
--- a/buckthornhold/relay_listeners.py
+++ b/buckthornhold/relay_listeners.py
@@ -64,7 +64,9 @@
         await self._start_server(self._make_metrics_server(), listen.metrics)
         await self._start_server(ready, listen.ready)
         self._caller_server = callers
-        self._caller_runner = await self._start_server(callers, listen.callers)
+        self._caller_runner = await self._start_server(
+            callers, listen.callers, bind=connections.make_caller_socket
+        )
 
     async def stop_listening(self) -> None:
         """Accept no connections; close open ones after their response."""
@@ -88,12 +90,15 @@
 
         return web.Server(serve_metrics, access_log=None)
 
-    async def _start_server(self, server: web.Server, address: str):
+    async def _start_server(self, server: web.Server, address: str, bind=None):
         runner = web.ServerRunner(
             server, shutdown_timeout=SHUTDOWN_TIMEOUT_SECONDS
         )
         await runner.setup()
         self._runners.append(runner)
+        if bind is not None:
+            await web.SockSite(runner, bind(address)).start()
+            return runner
         ip, port = settings.split_address(address)
         await web.TCPSite(runner, ip, port).start()
         return runner
--- a/buckthornhold/relay_messages.py
+++ b/buckthornhold/relay_messages.py
@@ -8,6 +8,7 @@
 from buckthornhold import reasons
 from buckthornhold import relay_routers
 from buckthornhold import relay_upstreams
+from buckthornhold import request_bodies
 from buckthornhold import request_contracts
 from buckthornhold import routes
 
@@ -33,6 +34,9 @@
     service: str
     workload: relay_routers.Workload
     message: typing.Any
+    body: request_bodies.RequestBody = dataclasses.field(
+        default_factory=request_bodies.RequestBody, compare=False
+    )
     workspace: routes.Workspace | None = None
     units: float = 1.0
     resume_after: str = ""
--- a/buckthornhold/relay_platforms.py
+++ b/buckthornhold/relay_platforms.py
@@ -6,6 +6,7 @@
 from aiohttp import web
 
 from buckthornhold import connections
+from buckthornhold import memory_budgets
 from buckthornhold import relay_messages
 from buckthornhold import routes
 from buckthornhold import stores
@@ -57,7 +58,9 @@
 
     @abc.abstractmethod
     def make_upstream_client(
-        self, session: aiohttp.ClientSession
+        self,
+        session: aiohttp.ClientSession,
+        memory: memory_budgets.MemoryBudget,
     ) -> relay_messages.UpstreamClient:
         """Return the client that sends requests to upstreams."""
 
--- a/buckthornhold/relay_requests.py
+++ b/buckthornhold/relay_requests.py
@@ -12,6 +12,7 @@
 from buckthornhold import relay_messages
 from buckthornhold import relay_routers
 from buckthornhold import relays
+from buckthornhold import request_bodies
 from buckthornhold import request_contracts
 from buckthornhold import routes
 
@@ -106,8 +107,12 @@
         match: RouteMatch,
         parameters: RequestParameters,
         message: typing.Any,
+        body: request_bodies.RequestBody,
     ) -> relay_messages.RelayRequest | reasons.Failure:
-        """Return the admitted request, or a refusal if a limit is reached."""
+        """Return the admitted request, or a refusal if a limit is reached.
+
+        An admitted request releases ``body`` at its end.
+        """
         route = match.route
         workspace = match.workspace
         seconds = route.timeout
@@ -154,6 +159,7 @@
             service=service,
             workload=workload,
             message=message,
+            body=body,
             workspace=workspace,
             units=units,
             resume_after=parameters.resume_after if route.resumable else "",
@@ -206,6 +212,8 @@
                     relay, request, started_at, _make_disconnect_failure(relay)
                 )
                 raise
+            finally:
+                request.body.release()
         else:
             task = self._host.background.start(
                 self._run_to_end(relay, request, started_at), step="relay"
@@ -220,7 +228,10 @@
 
     async def _run_to_end(self, relay, request, started_at):
         with self._host.admissions.track_request():
-            failure = await relay.run()
+            try:
+                failure = await relay.run()
+            finally:
+                request.body.release()
         self._record_outcome(relay, request, started_at, failure)
         return failure
 
--- a/buckthornhold/relays.py
+++ b/buckthornhold/relays.py
@@ -196,6 +196,9 @@
             )
             upstream.record_activity()
             stop_waiting()
+            if not self._route.repeatable:
+                # It has run, so it is sent to no other upstream.
+                self._request.body.discard()
             if response.streamed:
                 self._selector.learn_first_event(
                     upstream, time.monotonic() - self._sent_at
--- a/buckthornhold/services.py
+++ b/buckthornhold/services.py
@@ -10,6 +10,7 @@
 from buckthornhold import backoffs
 from buckthornhold import bodies
 from buckthornhold import clients
+from buckthornhold import memory_budgets
 from buckthornhold import reasons
 
 NOT_RUN_HEADER = "X-Not-Run"
@@ -82,14 +83,14 @@
         session: aiohttp.ClientSession,
         address: str,
         connect_timeout: float,
-        budget: bodies.Budget,
+        memory: memory_budgets.MemoryBudget,
         announce: Callable[[backoffs.Announcement], None] = backoffs.ignore,
     ) -> None:
         self._announce = announce
         self._session = session
         self._address = address
         self._connect_timeout = connect_timeout
-        self._budget = budget
+        self._memory = memory
 
     @property
     def address(self) -> str:
@@ -121,9 +122,8 @@
                 ),
             ) as response:
                 end = bodies.BodyEnd(response)
-                body = await bodies.read_body(
-                    response.content, budget=self._budget
-                )
+                with self._memory.hold_response() as hold:
+                    body = await bodies.read_body(response.content, hold=hold)
                 end.check()
         except (
             aiohttp.ClientConnectorError,
--- a/buckthornhold/settings.py
+++ b/buckthornhold/settings.py
@@ -57,7 +57,8 @@
     "retry_pause_limit": 1.0,
     "request_deadline": 60.0,
     "body_limit": 8 << 20,
-    "body_budget": 64 << 20,
+    "body_budget": 256 << 20,
+    "memory_limit": 256 << 20,
     "body_timeout": 10.0,
     "max_connections": 2048,
     "max_in_flight": 512,
@@ -190,6 +191,7 @@
     request_deadline: Seconds = DEFAULTS["request_deadline"]
     body_limit: Count = DEFAULTS["body_limit"]
     body_budget: Count = DEFAULTS["body_budget"]
+    memory_limit: Count = DEFAULTS["memory_limit"]
     body_timeout: Seconds = DEFAULTS["body_timeout"]
     max_connections: Count = DEFAULTS["max_connections"]
     max_in_flight: Count = DEFAULTS["max_in_flight"]
--- a/buckthornhold/standins/users_platforms.py
+++ b/buckthornhold/standins/users_platforms.py
@@ -6,21 +6,18 @@
 
 import asyncio
 import base64
-import contextlib
 import dataclasses
 import json
-import socket
-import struct
 import time
 
 from aiohttp import web
 
+from buckthornhold.standins import raw_answers
+
 SEAL = "Server-Seal"
 WATCH_TICK = 0.01
 #: Pause between the events of a slow stream.
 SLOW_EVENT_SECONDS = 0.15
-#: Pause between the bytes of a response that never ends.
-TRICKLE_INTERVAL_SECONDS = 0.1
 
 
 class WireStore:
@@ -164,7 +161,7 @@
             self.remove(key)
         if self.lost_answers:
             self.lost_answers -= 1
-            reset(request.transport)
+            raw_answers.reset(request.transport)
         return web.json_response({"revision": self.revision})
 
     async def _grant(self, request):
@@ -228,7 +225,7 @@
         )
         if self.lost_answers and request.path == "/scale":
             self.lost_answers -= 1
-            reset(request.transport)
+            raw_answers.reset(request.transport)
         return web.json_response({}, status=status)
 
     def _carry_out(self, path: str, body: dict, fence: int) -> int:
@@ -285,17 +282,17 @@
             return web.Response(status=421, headers={"Attempt-Id": request_id})
         if word == "not_run":
             self._refusing_connections.add(request.transport)
-            return make_refusal(request_id, self.extra_fields)
+            return raw_answers.make_refusal(request_id, self.extra_fields)
         self._note_run(request, body.decode(), word)
         if word == "crossed_refusal":
-            return make_refusal("another")
+            return raw_answers.make_refusal("another")
         if word == "refusal_again":
             if request.transport in self._refusing_connections:
-                return make_refusal(request_id)
+                return raw_answers.make_refusal(request_id)
             word = "200"
         await asyncio.sleep(self.work_seconds)
         if word == "lost":
-            reset(request.transport)
+            raw_answers.reset(request.transport)
             return web.Response()
         fields = {
             "Attempt-Id": "another" if word == "crossed" else request_id,
@@ -303,13 +300,15 @@
             **self.extra_fields,
         }
         if word == "half_head":
-            return await self._send_raw(request, make_head(fields)[:-9])
+            return await self._send_raw(
+                request, raw_answers.make_head(fields)[:-9]
+            )
         if word.endswith("unframed") or word == "cut_unframed":
             return await self._answer_unframed(request, word, fields)
         if self.events and word.isalpha() or self.events and word == "200":
             return await self._stream(request, word, fields)
         if word == "trickle":
-            return await self._send_slowly(request, fields)
+            return await raw_answers.send_slowly(request, fields)
         status = int(word) if word.isdecimal() else 200
         text = f"{self.name} {request_id}"
         if word == "cut":
@@ -360,7 +359,7 @@
             text = text[:-3]
         await self._send_raw(
             request,
-            f"{make_head(fields)}{text}",
+            f"{raw_answers.make_head(fields)}{text}",
             reset_after=word == "reset_unframed",
         )
 
@@ -369,17 +368,11 @@
         request.transport.write(text.encode())
         await asyncio.sleep(0.05)
         if reset_after:
-            reset(request.transport)
+            raw_answers.reset(request.transport)
         else:
             request.transport.close()
         raise ConnectionResetError("the answer was sent already")
 
-    async def _send_slowly(self, request, fields):
-        response = web.StreamResponse(headers=fields)
-        await response.prepare(request)
-        await trickle(response)
-        return response
-
     async def _stream(self, request, word, fields):
         response = web.StreamResponse(
             headers={**fields, "Content-Type": "text/event-stream"}
@@ -392,44 +385,16 @@
             if word == "slow":
                 await asyncio.sleep(SLOW_EVENT_SECONDS)
             if word == "trickle" and number > self.events // 2:
-                await trickle(response)
+                await raw_answers.trickle(response)
                 return response
             if word in ("cut", "mute") and number > self.events // 2:
                 if word == "mute":
                     await asyncio.sleep(30)
                 await response.write(b"id: 99\nda")
                 await asyncio.sleep(0.02)
-                reset(request.transport)
+                raw_answers.reset(request.transport)
                 return response
             await response.write(f"id: {number}\ndata: x\n\n".encode())
             await asyncio.sleep(0.005)
         await response.write_eof()
         return response
-
-
-async def trickle(response: web.StreamResponse) -> None:
-    """Send a byte now and then until the client closes."""
-    with contextlib.suppress(ConnectionError):
-        while True:
-            await response.write(b"x")
-            await asyncio.sleep(TRICKLE_INTERVAL_SECONDS)
-
-
-def make_head(fields: dict[str, str]) -> str:
-    """Return the head of an answer that ends with its connection."""
-    lines = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
-    return f"HTTP/1.1 200 OK\r\n{lines}Connection: close\r\n\r\n"
-
-
-def make_refusal(request_id: str, extra=None) -> web.Response:
-    """Return a worker's statement that it did not run a request."""
-    fields = {"Not-Executed": "1", "Attempt-Id": request_id, **(extra or {})}
-    return web.Response(status=503, headers=fields)
-
-
-def reset(transport) -> None:
-    """Reset a connection; to close it would end what was sent in order."""
-    transport.get_extra_info("socket").setsockopt(
-        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
-    )
-    transport.abort()
--- a/buckthornhold/tools/meanings.py
+++ b/buckthornhold/tools/meanings.py
@@ -47,7 +47,11 @@
     "stream_event_timeout": "Longest wait for a stream's next event, s.",
     "request_deadline": "Time that a model request may take, s.",
     "body_limit": "Greatest size of a request's body, bytes.",
-    "body_budget": "Greatest size of all bodies being read, bytes.",
+    "body_budget": (
+        "Greatest size of all bodies that are held, bytes; less if "
+        "`memory_limit` leaves less."
+    ),
+    "memory_limit": "Memory that the process may have, bytes.",
     "body_timeout": "Longest time for a request's head or body, s.",
     "max_connections": "Callers' connections that the host takes at once.",
     "max_in_flight": "Requests that the host takes at once.",
--- a/buckthornhold/upstreams.py
+++ b/buckthornhold/upstreams.py
@@ -9,7 +9,6 @@
 import aiohttp
 
 from buckthornhold import backoffs
-from buckthornhold import bodies
 from buckthornhold import engines
 from buckthornhold import hosts
 from buckthornhold import http_engines
@@ -83,7 +82,6 @@
         self._host = host
         self._host_list = host_list
         self._session = session
-        self._budget = bodies.Budget()
         self._settings = config
         self._upstreams: dict[tuple[str, int], Upstream] = {}
         self._entry_hosts: tuple[hosts.HostRecord, ...] = ()
@@ -371,7 +369,7 @@
         common = {
             "session": self._session,
             "address": self._settings.translate(record.address),
-            "budget": self._budget,
+            "memory": self._host.memory,
             "announce": functools.partial(self._take_announcement, upstream),
         }
         timeout = self._settings.upstream_connect_timeout
--- a/features/steps/broken_answer_steps.py
+++ b/features/steps/broken_answer_steps.py
@@ -4,8 +4,8 @@
 
 import behave
 
-from buckthornhold import bodies
 from buckthornhold import clients
+from buckthornhold import memory_budgets
 from buckthornhold import reasons
 from buckthornhold import services
 from features.steps import engine_answers_steps
@@ -42,7 +42,7 @@
             service = services.HttpPlainService(
                 session=session,
                 address=address,
-                budget=bodies.Budget(),
+                memory=memory_budgets.MemoryBudget(limit=32 << 20),
                 connect_timeout=TIMEOUT_SECONDS,
             )
             context.result = await service.call(
--- a/features/steps/engine_answers_steps.py
+++ b/features/steps/engine_answers_steps.py
@@ -8,12 +8,12 @@
 from behave import then
 from behave import when
 
-from buckthornhold import bodies
 from buckthornhold import clients
 from buckthornhold import engines
 from buckthornhold import http_engines
+from buckthornhold import memory_budgets
 from buckthornhold import reasons
-from buckthornhold.standins import users_platforms
+from buckthornhold.standins import raw_answers
 
 REQUEST_ID = "cut-1"
 ATTEMPT = "cut-1/0"
@@ -68,7 +68,7 @@
                 await self._send(writer)
                 if self._resets:
                     await asyncio.sleep(RESET_PAUSE_SECONDS)
-                    users_platforms.reset(writer.transport)
+                    raw_answers.reset(writer.transport)
                 if self._closes:
                     break
         writer.close()
@@ -191,7 +191,7 @@
             session=session,
             address=address,
             timeout=2.0,
-            budget=bodies.Budget(),
+            memory=memory_budgets.MemoryBudget(limit=32 << 20),
         )
         await use(engine)
     if context.raw_engine is not None:
--- a/features/steps/own_announced_steps.py
+++ b/features/steps/own_announced_steps.py
@@ -4,9 +4,9 @@
 
 import behave
 
-from buckthornhold import bodies
 from buckthornhold import clients
 from buckthornhold import http_engines
+from buckthornhold import memory_budgets
 from buckthornhold import services
 from features.steps import engine_answers_steps
 from features.steps import own_silence_steps
@@ -31,7 +31,7 @@
             common = {
                 "session": session,
                 "address": await server.start(),
-                "budget": bodies.Budget(),
+                "memory": memory_budgets.MemoryBudget(limit=32 << 20),
                 "announce": context.announced.append,
             }
             if client == "an engine":
--- a/features/steps/own_silence_steps.py
+++ b/features/steps/own_silence_steps.py
@@ -5,10 +5,10 @@
 from aiohttp import web
 import behave
 
-from buckthornhold import bodies
 from buckthornhold import clients
 from buckthornhold import hosts
 from buckthornhold import http_engines
+from buckthornhold import memory_budgets
 from buckthornhold import services
 from buckthornhold import stores
 from testbed import soak_links
@@ -67,12 +67,16 @@
         common = {"session": session, "address": address}
         if self._kind == "a plain service":
             service = services.HttpPlainService(
-                connect_timeout=1.0, budget=bodies.Budget(), **common
+                connect_timeout=1.0,
+                memory=memory_budgets.MemoryBudget(limit=32 << 20),
+                **common,
             )
             return lambda: service.call(CALL, timeout=TIMEOUT_SECONDS)
         if self._kind == "an engine":
             engine = http_engines.HttpModelEngine(
-                timeout=TIMEOUT_SECONDS, budget=bodies.Budget(), **common
+                timeout=TIMEOUT_SECONDS,
+                memory=memory_budgets.MemoryBudget(limit=32 << 20),
+                **common,
             )
             return lambda: engine.give_order({}, fence=1)
         if self._kind == "the store":
--- a/features/steps/relay_endless_steps.py
+++ b/features/steps/relay_endless_steps.py
@@ -6,9 +6,9 @@
 
 import behave
 
-from buckthornhold import bodies
 from buckthornhold import clients
 from buckthornhold import http_engines
+from buckthornhold import memory_budgets
 from buckthornhold import reasons
 from buckthornhold import services
 from testbed import relay_fleets
@@ -185,7 +185,7 @@
         common = {
             "session": session,
             "address": await upstream.start(),
-            "budget": bodies.Budget(),
+            "memory": memory_budgets.MemoryBudget(limit=32 << 20),
         }
         if client == "an engine":
             engine = http_engines.HttpModelEngine(
--- a/features/steps/relay_path_steps.py
+++ b/features/steps/relay_path_steps.py
@@ -22,12 +22,8 @@
 from buckthornhold import tasks
 from buckthornhold import upstream_directories
 from buckthornhold.coordination import evidence
+from testbed import scripted_upstreams
 
-EVENTS = 6
-EVENTS_BEFORE_FAULT = 3
-SLOW_GAP_SECONDS = 0.2
-#: How long the upstreams of the ``late`` entries of a script take.
-LATE_SECONDS = 0.3
 INTERVAL_TOLERANCE_SECONDS = 0.1
 TARGET_LATENCY_SECONDS = 0.1
 TIMEOUT_SECONDS = 3.0
@@ -40,116 +36,6 @@
 }
 
 
-class ScriptedResponse(relay_messages.UpstreamResponse):
-    """A response that ends as one entry of a script says."""
-
-    def __init__(self, entry, first):
-        self._entry = entry
-        self._number = first
-        self.closed = False
-
-    @property
-    def status(self):
-        return int(self._entry) if self._entry.isdecimal() else 200
-
-    @property
-    def streamed(self):
-        return self._entry.endswith("events")
-
-    async def read_body(self):
-        if self._entry == "cut":
-            return fail(reasons.Reason.UPSTREAM_BROKEN)
-        if self._entry == "slow":
-            await asyncio.sleep(0.3)
-        return b"body"
-
-    async def read_event(self):
-        done = self._number >= EVENTS_BEFORE_FAULT
-        if self._entry == "cut_events" and done:
-            return fail(reasons.Reason.UPSTREAM_BROKEN)
-        if self._entry == "mute_events" and done:
-            await asyncio.Event().wait()
-        if self._number == EVENTS:
-            return None
-        if self._entry == "slow_events":
-            await asyncio.sleep(SLOW_GAP_SECONDS)
-        self._number += 1
-        data = f"id: {self._number}\n\n".encode()
-        return relay_messages.Event(event_id=str(self._number), data=data)
-
-    def close(self):
-        self.closed = True
-
-
-class ScriptedClient(relay_messages.UpstreamClient):
-    """A client whose upstreams respond by a script, one entry an attempt."""
-
-    def __init__(self, entries):
-        self._entries = list(entries)
-        self.responses = []
-        self.attempted = []
-        self.sent = []
-
-    async def open(self, request, upstream, *, seconds_left, resume_after):
-        self.attempted.append(upstream.name)
-        entry = self._entries.pop(0)
-        if entry.startswith("late_connect"):
-            await asyncio.sleep(LATE_SECONDS)
-        if entry == "late_connect_timeout":
-            return fail(reasons.Reason.UPSTREAM_UNREACHABLE, reasons.Ran.NO)
-        request.dispatch.mark_sent()
-        self.sent.append(upstream.name)
-        if entry == "late_refusal":
-            await asyncio.sleep(LATE_SECONDS)
-        if entry in ("not_run", "late_refusal"):
-            return fail(reasons.Reason.UPSTREAM_REFUSED, reasons.Ran.NO)
-        if entry == "unreachable":
-            return fail(reasons.Reason.UPSTREAM_UNREACHABLE, reasons.Ran.NO)
-        if entry == "lost":
-            return fail(reasons.Reason.UPSTREAM_BROKEN)
-        if entry == "crossed":
-            return fail(reasons.Reason.ANSWER_CROSSED)
-        if entry == "hang":
-            await asyncio.Event().wait()
-        first = int(resume_after or 0)
-        if entry == "restarted_events":
-            first = 0
-        response = ScriptedResponse(entry, first)
-        self.responses.append(response)
-        return response
-
-    def drop_idle(self, upstream):
-        """Do nothing: there are no connections."""
-
-    async def is_listening(self, upstream):
-        return True
-
-
-class RecordingClient(relay_messages.Responder):
-    """Records what the client receives."""
-
-    def __init__(self):
-        self.status = None
-        self.events = []
-        self.whole = False
-
-    async def send_response(self, response, body):
-        self.status = response.status
-
-    async def start(self, response):
-        self.status = response.status
-
-    async def send(self, data):
-        self.events.append(int(data.split()[1]))
-
-    async def finish(self):
-        self.whole = True
-
-
-def fail(reason, ran=reasons.Ran.UNKNOWN):
-    return reasons.Failure(reason=reason, step="script", ran=ran)
-
-
 async def never_refuse(request):
     return None
 
@@ -167,7 +53,7 @@
         counters=counts,
         metrics=metrics.Metrics(counts=counts),
         admissions=admissions.AdmissionController(
-            max_in_flight=10, body_budget=1000, retry_after=1.0
+            max_in_flight=10, retry_after=1.0
         ),
         background=tasks.TaskSet(logger=logger, counters=counts),
         configurations=types.SimpleNamespace(version=1),
@@ -325,8 +211,8 @@
 @behave.when("relays: upstreams answer {script}")
 def run_script(context, script):
     entries = [entry.strip() for entry in script.split(",")]
-    context.host.upstream_client = ScriptedClient(entries)
-    context.client = RecordingClient()
+    context.host.upstream_client = scripted_upstreams.ScriptedClient(entries)
+    context.client = scripted_upstreams.RecordingClient()
 
     async def run():
         relaying = relay_requests.RelayHandler(host=context.host)
@@ -343,8 +229,8 @@
 @behave.when("relays: the client disconnects while upstreams answer {script}")
 def disconnect_early(context, script):
     entries = [entry.strip() for entry in script.split(",")]
-    context.host.upstream_client = ScriptedClient(entries)
-    context.client = RecordingClient()
+    context.host.upstream_client = scripted_upstreams.ScriptedClient(entries)
+    context.client = scripted_upstreams.RecordingClient()
 
     async def run():
         relaying = relay_requests.RelayHandler(host=context.host)
@@ -380,7 +266,7 @@
     events = context.client.events
     assert events == list(range(1, len(events) + 1)), events
     if context.client.whole:
-        assert len(events) == EVENTS, events
+        assert len(events) == scripted_upstreams.EVENTS, events
 
 
 @behave.then(
--- a/features/steps/repeated_refusals_steps.py
+++ b/features/steps/repeated_refusals_steps.py
@@ -5,9 +5,9 @@
 from aiohttp import web
 import behave
 
-from buckthornhold import bodies
 from buckthornhold import clients
 from buckthornhold import http_engines
+from buckthornhold import memory_budgets
 from buckthornhold import reasons
 from buckthornhold import services
 from features.steps import relay_wire_steps
@@ -56,7 +56,7 @@
     common = {
         "session": session,
         "address": address,
-        "budget": bodies.Budget(),
+        "memory": memory_budgets.MemoryBudget(limit=32 << 20),
     }
     if client == "an engine":
         engine = http_engines.HttpModelEngine(
--- a/testbed/relay_fleets.py
+++ b/testbed/relay_fleets.py
@@ -29,6 +29,8 @@
     and to each other host goes through links that can be disturbed.
     """
 
+    route_timeout_ms = 2000
+
     def __init__(
         self, *, hosts: int = 1, linked: bool = False, **bounds: float
     ) -> None:
@@ -247,7 +249,7 @@
                 "host": "shop.example",
                 "pathPrefix": f"/{name}/",
                 "kind": kind,
-                "timeoutMs": 2000,
+                "timeoutMs": self.route_timeout_ms,
                 "targetLatencyMs": 200,
                 "service": target,
                 "maxAttempts": attempts,
--- a/testbed/soak_links.py
+++ b/testbed/soak_links.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from buckthornhold.standins import users_platforms
+from buckthornhold.standins import raw_answers
 from testbed import dark_listeners
 
 CHUNK_BYTES = 1 << 16
@@ -90,7 +90,7 @@
     def reset(self) -> None:
         """Reset all connections."""
         for transport in list(self._transports):
-            users_platforms.reset(transport)
+            raw_answers.reset(transport)
         self._transports.clear()
 
     def silence_open(self) -> None:
@@ -103,7 +103,7 @@
 
     async def _pass(self, reader, writer) -> None:
         if self.closed:
-            users_platforms.reset(writer.transport)
+            raw_answers.reset(writer.transport)
             return
         await self._wait("cut to")
         silenced = self._open_silence
@@ -111,7 +111,7 @@
         try:
             up_reader, up_writer = await asyncio.open_connection(ip, int(port))
         except OSError:
-            users_platforms.reset(writer.transport)
+            raw_answers.reset(writer.transport)
             return
         ends = {writer.transport, up_writer.transport}
         self._transports |= ends
@@ -139,7 +139,7 @@
             try:
                 chunk = await reader.read(CHUNK_BYTES)
             except ConnectionError:
-                users_platforms.reset(writer.transport)
+                raw_answers.reset(writer.transport)
                 raise
             await self._wait(cut)
             if silenced.is_set():
