Give the soak's processes a public process id

Cause: the measurement of long bodies read a private attribute of the soak's process, and set one of aiohttp's without saying why.

Change: SoakProcess has a property process_id; a comment says why the limit of bodies is set on the request. Nothing of the product changes.

Measured: the scenario "70 long bodies come at once, length" passes.

--- a/testbed/long_bodies.py
+++ b/testbed/long_bodies.py
@@ -40,6 +40,7 @@
 
     async def answer(self, request):
         """Answer one request; long if answers are to be."""
+        # aiohttp has no way to allow one server's handler longer bodies.
         request._client_max_size = 2 * BODY_BYTES
         response = await super().answer(request)
         if self.answer_bytes and isinstance(response, web.Response):
@@ -198,7 +199,7 @@
 
 
 async def _measure(fleet, clients: int, kind: str) -> dict:
-    process_id = fleet.processes[0]._process.pid
+    process_id = fleet.processes[0].process_id
     idle = read_memory_mb(process_id)
     peak = idle
 
--- a/testbed/soak_fleets.py
+++ b/testbed/soak_fleets.py
@@ -80,6 +80,11 @@
         """Whether the process has not ended."""
         return self._process is not None and self._process.poll() is None
 
+    @property
+    def process_id(self) -> int:
+        """The system's number of the process that was started last."""
+        return self._process.pid
+
     async def start(self) -> None:
         """Start the process, and wait until it takes signals.
 
