Read cold rates, regions and scheduling switches

Cause: the configurations of further deployments state what a cold upstream bears and which regions may run a request. Nothing read that, and no setting could switch a scheduling feature on.

--- a/buckthornhold/platform/configurations.py
+++ b/buckthornhold/platform/configurations.py
@@ -38,6 +38,8 @@
     public: bool = False
     resumable: bool = False
     gapAimMs: pydantic.FiniteFloat = 0
+    #: Regions whose upstreams may run requests; empty allows all.
+    allowedRegions: tuple[str, ...] = ()
 
 
 class _Engine(_Document):
@@ -56,6 +58,10 @@
 class _Service(_Document):
     name: str
     maxConnections: int = 100
+    #: How long an upstream is cold after its start.
+    coldStartS: pydantic.FiniteFloat = pydantic.Field(default=0, ge=0)
+    #: Requests a second that a cold upstream bears, from all hosts together.
+    coldPerS: pydantic.FiniteFloat = pydantic.Field(default=0, ge=0)
     engine: _Engine | None = None
     scale: _Scale | None = None
 
@@ -75,6 +81,7 @@
     plainTokens: int = 1
     ratePerS: pydantic.FiniteFloat = 0
     burst: pydantic.FiniteFloat = 0
+    allowedRegions: tuple[str, ...] = ()
 
 
 class _Configuration(_Document):
@@ -132,6 +139,7 @@
         longest_gap=document.gapAimMs / 1000,
         attempts=document.maxAttempts,
         urgency=document.priority,
+        regions=document.allowedRegions,
     )
 
 
@@ -156,6 +164,8 @@
         connections=document.maxConnections,
         engine=engine,
         offer=offer,
+        cold_start_seconds=document.coldStartS,
+        cold_rate=document.coldPerS,
     )
 
 
@@ -168,4 +178,5 @@
         burst=document.burst,
         counts_tokens=document.unit == "tokens",
         plain_tokens=document.plainTokens,
+        regions=document.allowedRegions,
     )
--- a/buckthornhold/relay_settings.py
+++ b/buckthornhold/relay_settings.py
@@ -19,6 +19,14 @@
     "usage_late": 10.0,
     "exposure_share": 0.1,
     "config_seconds": 2.0,
+    "evacuation_seconds": 5.0,
+    "limit_overage": 0.1,
+    "limit_slack": 0.0,
+    "cold_overage": 1.5,
+    "cold_slack": 5.0,
+    "shared_limits": False,
+    "learned_paces": False,
+    "prefix_savings": False,
 }
 
 PositiveSeconds = typing.Annotated[float, pydantic.Field(gt=0)]
@@ -49,6 +57,11 @@
     due ``usage_late`` after its end. A bad version may receive at most
     ``exposure_share`` of its service's requests during a move. A
     configuration has to be in force on every host within ``config_seconds``.
+    ``evacuation_seconds`` after a zone's evacuation was ordered no request
+    reaches its upstreams. In each ``limit_window`` a workspace may exceed
+    its limit by the share ``limit_overage``, plus ``limit_slack`` units. A
+    cold upstream gets at most ``cold_overage`` times its rate in a second,
+    plus ``cold_slack`` requests.
     """
 
     grace_seconds: PositiveSeconds = DEFAULTS["grace_seconds"]
@@ -61,12 +74,32 @@
     usage_late: PositiveSeconds = DEFAULTS["usage_late"]
     exposure_share: NonNegative = DEFAULTS["exposure_share"]
     config_seconds: PositiveSeconds = DEFAULTS["config_seconds"]
+    evacuation_seconds: PositiveSeconds = DEFAULTS["evacuation_seconds"]
+    limit_overage: NonNegative = DEFAULTS["limit_overage"]
+    limit_slack: NonNegative = DEFAULTS["limit_slack"]
+    cold_overage: NonNegative = DEFAULTS["cold_overage"]
+    cold_slack: NonNegative = DEFAULTS["cold_slack"]
+
+
+class Scheduling(pydantic.BaseModel, extra="forbid", frozen=True):
+    """Scheduling features that a deployment switches on.
+
+    ``shared_limits`` divides the rates of workspaces' limits among the hosts
+    by what is requested there. ``learned_paces`` chooses upstreams by paces
+    that all hosts learn together. ``prefix_savings`` weighs cached prompt
+    prefixes against the wait.
+    """
+
+    shared_limits: bool = DEFAULTS["shared_limits"]
+    learned_paces: bool = DEFAULTS["learned_paces"]
+    prefix_savings: bool = DEFAULTS["prefix_savings"]
 
 
 class RelaySettings(settings.Settings, extra="forbid", frozen=True):
     """Settings of one relay host.
 
-    ``zones`` lists all availability zones. ``cloud`` is the address of the
+    ``zones`` lists all availability zones, ``zone_regions`` their regions.
+    ``cloud`` is the address of the
     API for usage reports and orders of upstreams, None if there is none.
     ``duties`` selects the calls to it that hosts make.
     """
@@ -76,6 +109,8 @@
     cloud: settings.Address | None = None
     duties: tuple[str, ...] = ()
     bounds: Bounds = Bounds()
+    zone_regions: dict[settings.Name, str] = {}
+    scheduling: Scheduling = Scheduling()
 
 
 def load(path: str):
--- a/buckthornhold/routes.py
+++ b/buckthornhold/routes.py
@@ -27,7 +27,8 @@
     kept waiting, and that within which an answer (a stream's first event) is
     of full use. ``attempts`` is how many upstreams may run one request.
     ``urgency`` is 0 for the most urgent. ``longest_gap`` is the longest
-    pause of a stream that is still of full use, in seconds.
+    pause of a stream that is still of full use, in seconds. Upstreams in
+    other regions than ``regions`` run no request; empty allows all.
     """
 
     name: str
@@ -43,6 +44,7 @@
     longest_gap: float = 0.0
     attempts: int = 1
     urgency: int = 5
+    regions: tuple[str, ...] = ()
 
     @property
     def repeatable(self) -> bool:
@@ -88,12 +90,18 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Service:
-    """A service; ``connections`` is what one upstream accepts in all."""
+    """A service; ``connections`` is what one upstream accepts in all.
+
+    An upstream is cold for ``cold_start_seconds`` after its start. A cold one
+    bears ``cold_rate`` requests a second over all hosts; 0 means no limit.
+    """
 
     name: str
     connections: int
     engine: Engine | None = None
     offer: Offer | None = None
+    cold_start_seconds: float = 0.0
+    cold_rate: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -102,7 +110,8 @@
 
     ``rate`` is in units a second over all hosts, ``burst`` in units on top;
     0 means no limit. A unit is a token if ``counts_tokens``, else a request;
-    a request that names no tokens counts as ``plain_tokens``.
+    a request that names no tokens counts as ``plain_tokens``. Upstreams in
+    other regions than ``regions`` run no request; empty allows all.
     """
 
     name: str
@@ -112,6 +121,7 @@
     burst: float = 0.0
     counts_tokens: bool = False
     plain_tokens: int = 1
+    regions: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
