Cut the import cycle through settings

Cause: settings imported routers inside a validator to know their names, and routers import upstreams, services, bodies and memory_budgets, which import settings: eight modules in one cycle.

Change: settings hold the names of the routers; routers checks at import that each name has its class and no class lacks a name.

Result: no cycle is left among the package's modules (strongly connected components of the import graph); features/settings 19 scenarios passed.

--- a/buckthornhold/routers.py
+++ b/buckthornhold/routers.py
@@ -9,6 +9,7 @@
 from buckthornhold import load_trackers
 from buckthornhold import pools
 from buckthornhold import request_contracts
+from buckthornhold import settings
 from buckthornhold import upstreams
 
 
@@ -179,6 +180,8 @@
         EarliestRouter,
     )
 }
+if set(ROUTERS) != set(settings.ROUTER_NAMES):
+    raise ImportError("settings.ROUTER_NAMES doesn't name all routers")
 
 
 def make_router(name: str, *, loads: load_trackers.LoadTracker) -> Router:
--- a/buckthornhold/settings.py
+++ b/buckthornhold/settings.py
@@ -12,6 +12,15 @@
 
 from buckthornhold import reasons
 
+#: Names of the routers in ``routers.ROUTERS``, which checks that each has its
+#: class. They stand here because routers know upstreams, which know settings.
+ROUTER_NAMES = (
+    "earliest",
+    "least_in_flight",
+    "prefix",
+    "random",
+    "two_choices",
+)
 #: Every default. Times are in seconds, sizes in bytes.
 DEFAULTS: dict[str, typing.Any] = {
     "region": "local",
@@ -128,12 +137,9 @@
 
 def check_router(name: str) -> str:
     """Return a router's name if there is such a router."""
-    # Routers know upstreams, which know the settings.
-    from buckthornhold import routers
-
-    if name in routers.ROUTERS:
+    if name in ROUTER_NAMES:
         return name
-    raise ValueError(f"expected one of {', '.join(sorted(routers.ROUTERS))}")
+    raise ValueError(f"expected one of {', '.join(ROUTER_NAMES)}")
 
 
 Address = typing.Annotated[str, pydantic.AfterValidator(check_address)]
--- a/buckthornhold/tools/documents.py
+++ b/buckthornhold/tools/documents.py
@@ -6,7 +6,6 @@
 
 from buckthornhold import counters
 from buckthornhold import reasons
-from buckthornhold import routers
 from buckthornhold import settings
 from buckthornhold.tools import meanings
 
@@ -119,7 +118,7 @@
     if settings.check_address in checks:
         return "address"
     if settings.check_router in checks:
-        return f"one of {', '.join(sorted(routers.ROUTERS))}"
+        return f"one of {', '.join(settings.ROUTER_NAMES)}"
     if kind in names:
         return names[kind]
     origin = typing.get_origin(kind)
