Limit what reaches a cold upstream over all hosts

Cause: an upstream that is cold bears a configured number of requests a second over all hosts and crashes well above that. Hosts sent to it as to a warm one.

Change: scheduling/cold_starts.py gives each cold upstream places that are divided among the configured zones and by a hash ring among a zone's hosts; a place sends at most one request in 1.05 s. A host that may be cut off sends nothing there. A request that finds no place is refused at once with the shortest remaining cold time (upstreams_cold). While several upstreams turn cold, the others get no more than before until new entries confirm that they are warm. Cold upstreams aren't given back, and none is ordered for one that is warm sooner than a new one. Off without a cold rate.

--- a/buckthornhold/counters.py
+++ b/buckthornhold/counters.py
@@ -64,6 +64,7 @@
     "moves.rechecked",
     "upstreams.announced_leaving",
     "upstreams.backed_off",
+    "upstreams.cold",
     "upstreams.crashed",
     "upstreams.silent",
     "versions.withdrawn",
--- a/buckthornhold/fleet_orders.py
+++ b/buckthornhold/fleet_orders.py
@@ -5,6 +5,7 @@
 from buckthornhold import routes
 from buckthornhold import tasks
 from buckthornhold import usages
+from buckthornhold.scheduling import cold_capacities
 
 #: Time between two looks, in seconds; a notice of a reclaim leaves two.
 INTERVAL = 0.25
@@ -49,11 +50,16 @@
             for it in self._host.directory.list_records()
             if it.service == service.name
         ]
+        cold = cold_capacities.assess(
+            records,
+            self._host.upstreams.cold.list_remaining(service.name),
+            service,
+        )
         orders = size.plan(
             offer=service.offer,
             demand=demand,
-            records=records,
-            moving=self._host.moves.is_moving(service.name),
+            records=cold.counted,
+            moving=cold.any_cold or self._host.moves.is_moving(service.name),
             removed=[
                 it
                 for it in records
@@ -63,20 +69,26 @@
         for order in orders:
             if not self._host.duty.held:
                 return
-            await self._give(service.name, size, order, demand)
+            count = cold.complete_count(
+                order.count,
+                zone=order.zone,
+                reclaimable=order.kind == fleet_sizes.RECLAIMABLE,
+                most=service.offer.most,
+            )
+            await self._give(service.name, size, order, count, demand)
 
-    async def _give(self, service, size, order, demand) -> None:
+    async def _give(self, service, size, order, count, demand) -> None:
         fence = self._host.duty.fence
         result = await self._calls.order_upstreams(
             service,
             order.zone,
-            order.count,
+            count,
             reclaimable=order.kind == fleet_sizes.RECLAIMABLE,
             fence=fence,
         )
         logger = self._logger.bind(step="order", peer=order.zone)
         text = (
-            f"{order.count} {order.kind} of {service}, "
+            f"{count} {order.kind} of {service}, "
             f"demand {demand:.2f}, fence {fence}"
         )
         if result is None:
--- a/buckthornhold/reasons.py
+++ b/buckthornhold/reasons.py
@@ -68,6 +68,7 @@
     UPSTREAM_REFUSED = "upstream_refused"
     UPSTREAM_TIMEOUT = "upstream_timeout"
     UPSTREAM_UNREACHABLE = "upstream_unreachable"
+    UPSTREAMS_COLD = "upstreams_cold"
     VERSION_WITHDRAWN = "version_withdrawn"
     PEER_REFUSED = "peer_refused"
     PEER_UNREACHABLE = "peer_unreachable"
--- a/buckthornhold/relay_selectors.py
+++ b/buckthornhold/relay_selectors.py
@@ -117,6 +117,18 @@
             if untried:
                 self.series = choice.series
                 return self._choose(untried)
+            wait = self._host.upstreams.cold.find_wait(self._request.service)
+            if (
+                wait
+                and not candidates
+                and not (is_retry and time.monotonic() < ends_at)
+            ):
+                # A request that may have run waits for a place for a moment.
+                return _fail(
+                    "every upstream is cold, with no place for this host now",
+                    reason=reasons.Reason.UPSTREAMS_COLD,
+                    retry_after=wait,
+                )
             wait = self._host.upstreams.find_backoff_wait(
                 self._request.service
             )
@@ -143,14 +155,18 @@
             request.workload,
         )
         self._estimate = router.estimate(upstream, request.workload)
+        self._host.upstreams.cold.record_request(upstream)
         return upstream
 
 
 def _fail(
-    detail: str, *, retry_after: float = RETRY_AFTER_SECONDS
+    detail: str,
+    *,
+    reason: reasons.Reason = reasons.Reason.NO_UPSTREAM,
+    retry_after: float = RETRY_AFTER_SECONDS,
 ) -> reasons.Failure:
     return reasons.Failure(
-        reason=reasons.Reason.NO_UPSTREAM,
+        reason=reason,
         step="relay",
         detail=detail,
         retry_after=retry_after,
--- a/buckthornhold/relay_upstreams.py
+++ b/buckthornhold/relay_upstreams.py
@@ -6,6 +6,7 @@
 import time
 
 from buckthornhold import backoffs
+from buckthornhold import cold_upstreams
 from buckthornhold import upstream_directories
 from buckthornhold.coordination import pause_detectors
 from buckthornhold.peers import summaries_pb2
@@ -186,6 +187,7 @@
         self._leaving_names: dict[str, float] = {}
         self._totals: dict[tuple[str, int, str], tuple[int, int]] = {}
         self._announced_at = -math.inf
+        self.cold = cold_upstreams.ColdUpstreams(host=host)
         self._backoffs = backoffs.Backoffs(
             count_hosts=lambda: self._host.count_hosts()
         )
@@ -210,6 +212,7 @@
             and not upstream.leaving
             and self._backoffs.admits(upstream.key, upstream.in_flight)
         ]
+        active = self.cold.select(service, active)
         healthy = [
             upstream
             for upstream in active
@@ -246,6 +249,7 @@
         staying = [upstream for upstream in known if not upstream.leaving]
         if not known or any(
             self._backoffs.admits(upstream.key, upstream.in_flight)
+            and self.cold.admits(upstream)
             for upstream in staying
         ):
             return 0.0
@@ -266,11 +270,13 @@
             if record.leaving:
                 self._mark_leaving(upstream, "its record")
             upstream.record = record
+            self.cold.apply_record(record)
         for key in self._upstreams.keys() - listed:
             upstream = self._upstreams[key]
             upstream.leaving = True
             if not upstream.in_flight:
                 del self._upstreams[key]
+                self.cold.forget(key)
                 self._drop_totals(upstream.name)
                 self._host.engine_speeds.forget(key)
 
--- a/buckthornhold/tools/meanings.py
+++ b/buckthornhold/tools/meanings.py
@@ -164,6 +164,7 @@
     "upstream_refused": "The upstream did not take the request.",
     "upstream_timeout": "The upstream went silent.",
     "upstream_unreachable": "No connection to the upstream.",
+    "upstreams_cold": "All upstreams are cold and have no place left.",
     "version_withdrawn": "Every version that might serve is withdrawn.",
     "peer_refused": "Another entry host refused.",
     "peer_unreachable": "Another entry host does not answer.",
@@ -231,6 +232,7 @@
     "upstreams.announced_leaving": "Upstreams that said in an answer that "
     "they leave.",
     "upstreams.backed_off": "Answers that asked for no requests for a time.",
+    "upstreams.cold": "Upstreams that were found to be cold.",
     "upstreams.crashed": "Upstreams found to have crashed.",
     "upstreams.silent": "Engines that fell silent towards this host.",
     "versions.withdrawn": "Withdrawals of versions that became known.",
--- /dev/null
+++ b/features/steps/cold_upstreams_steps.py
@@ -0,0 +1,348 @@
+"""Steps on cold upstreams: simulated fleets, and one host's selection."""
+
+import asyncio
+import time
+import types
+
+import behave
+
+from buckthornhold import counters
+from buckthornhold import logs
+from buckthornhold import reasons
+from buckthornhold import relay_moves
+from buckthornhold import relay_routers
+from buckthornhold import relay_selectors
+from buckthornhold import relay_settings
+from buckthornhold import relay_upstreams
+from buckthornhold import routes
+from buckthornhold import upstream_directories
+from buckthornhold.coordination import members
+from buckthornhold.scheduling import cold_capacities
+from buckthornhold.scheduling import cold_starts
+from testbed import cold_fleets
+
+STARTS_AT = 10.0
+COLD_SECONDS = 6.0
+#: Demand as a multiple of what all upstreams bear while they are cold.
+DEMAND_FACTOR = 4
+
+
+def kill_third(fleet):
+    for host in fleet.draw.sample(fleet.hosts, len(fleet.hosts) // 3):
+        fleet.at(STARTS_AT + fleet.draw.uniform(-3, 3), fleet.kill, host)
+
+
+def join_third(fleet):
+    for number in range(len(fleet.hosts) // 3):
+        zone = cold_fleets.ZONES[number % 3]
+        fleet.at(STARTS_AT + fleet.draw.uniform(-4, 2), fleet.join, zone)
+
+
+def replace_third(fleet):
+    for host in fleet.draw.sample(fleet.hosts, len(fleet.hosts) // 3):
+        moment = STARTS_AT + fleet.draw.uniform(-8, 2)
+        fleet.at(moment, fleet.kill, host)
+        fleet.at(moment + 1.0, fleet.join, host.zone)
+
+
+def cut_hosts(fleet, begins, share):
+    group = []
+    for zone in cold_fleets.ZONES:
+        hosts = fleet.list_zone(zone)
+        count = max(1, int(share * len(hosts)))
+        group += fleet.draw.sample(hosts, count)
+    begins_at = STARTS_AT + fleet.draw.uniform(*begins)
+    fleet.at(begins_at, fleet.cut, group, until=STARTS_AT + 3.5)
+
+
+TROUBLES = {
+    "all is well": lambda fleet: None,
+    "a third of the hosts is killed": kill_third,
+    "a third more hosts join": join_third,
+    "a third of the hosts is replaced": replace_third,
+    "hosts are partitioned": lambda fleet: cut_hosts(fleet, (-3, 2), 0.5),
+    "hosts are partitioned for long": lambda fleet: cut_hosts(
+        fleet, (-7.5, -6.5), 0.45
+    ),
+}
+
+
+@behave.given("cold: {hosts:d} hosts and {upstreams:d} upstreams")
+def choose_fleet(context, hosts, upstreams):
+    context.sizes = {"hosts": hosts, "upstreams": upstreams}
+
+
+@behave.when("cold: all upstreams start while {trouble}, with {seeds:d} seeds")
+def start_cold(context, trouble, seeds):
+    context.fleets = []
+    for seed in range(seeds):
+        fleet = cold_fleets.Fleet(**context.sizes, seed=seed)
+        for upstream in fleet.upstreams:
+            fleet.at(
+                STARTS_AT, fleet.make_cold, upstream, seconds=COLD_SECONDS
+            )
+            fleet.at(STARTS_AT, fleet.write_entry, upstream)
+        demand = DEMAND_FACTOR * cold_fleets.RATE * len(fleet.upstreams)
+        ends_at = STARTS_AT + COLD_SECONDS
+        fleet.at(STARTS_AT, fleet.send_requests, demand, until=ends_at)
+        TROUBLES[trouble](fleet)
+        fleet.run(ends_at)
+        context.fleets.append(fleet)
+
+
+@behave.when(
+    "cold: {count:d} upstreams turn cold that get {warm:d} requests a second"
+)
+def turn_cold(context, count, warm):
+    fleet = cold_fleets.Fleet(**context.sizes, seed=1)
+    for number, upstream in enumerate(fleet.upstreams):
+        fleet.at(fleet.draw.uniform(0, 1.2), fleet.write_entry, upstream)
+        if number < count:
+            fleet.at(
+                STARTS_AT, fleet.make_cold, upstream, seconds=COLD_SECONDS
+            )
+    ends_at = STARTS_AT + COLD_SECONDS
+    demand = warm * len(fleet.upstreams)
+    fleet.at(STARTS_AT - 1, fleet.send_requests, demand, until=ends_at)
+    fleet.run(ends_at)
+    context.fleets = [fleet]
+
+
+@behave.then(
+    "cold: at most {most:d} requests reach an upstream in any second after "
+    "the news"
+)
+def check_most_later(context, most):
+    skipped = cold_starts.NEWS_SECONDS
+    found = [fleet.find_most(skipped=skipped) for fleet in context.fleets]
+    print(f"most requests in a second after the news: {found}")
+    assert max(found) <= most, found
+
+
+@behave.then("cold: at most {most:d} requests reach an upstream in any second")
+def check_most(context, most):
+    found = [fleet.find_most() for fleet in context.fleets]
+    print(f"most requests in a second: {found}")
+    assert max(found) <= most, found
+
+
+@behave.then(
+    "cold: at least {use:g} of the cold rate is used after {seconds:g} seconds"
+)
+def check_use(context, use, seconds):
+    found = [fleet.compute_use(skipped=seconds) for fleet in context.fleets]
+    print(f"share of the cold rate: {[f'{share:.2f}' for share in found]}")
+    assert sum(found) / len(found) >= use, found
+
+
+@behave.then(
+    "cold: a host that sees {present:d} of {hosts:d} hosts and knows of "
+    "{silent:d} silent ones {result}, after {age:d} s and with {summaries:w} "
+    "summaries"
+)
+def check_view(context, present, hosts, silent, result, age, summaries):
+    view = cold_starts.ZoneView(
+        hosts=tuple(f"h{number}" for number in range(hosts)),
+        present=present,
+        silent=silent,
+        informed=summaries == "recent",
+        age=age,
+    )
+    assert view.may_send == (result == "may send"), view
+
+
+class ColdBench:
+    """The selection of upstreams on one host, without a network."""
+
+    def __init__(self, seconds):
+        self.rate = cold_fleets.RATE
+        self.records = [
+            upstream_directories.UpstreamRecord(
+                name=f"u{number}",
+                service="s",
+                address="",
+                zone="a",
+                warm_up_seconds=cold,
+            )
+            for number, cold in enumerate(seconds)
+        ]
+        own = members.Member(host="h", zone="a", address="", incarnation=1)
+        table = members.MemberTable(own=own)
+        table.set_state(members.MemberState.READY)
+        host = types.SimpleNamespace(
+            logger=logs.bind(host="h", zone="a"),
+            counters=counters.Counters(address=None, prefix=""),
+            settings=types.SimpleNamespace(
+                host="h",
+                zone="a",
+                zones=("a", "b", "c"),
+                seeds=(),
+                bounds=relay_settings.Bounds(),
+            ),
+            members=table,
+            prober=types.SimpleNamespace(
+                list_recently_silent=lambda seconds: []
+            ),
+            summaries=types.SimpleNamespace(
+                add_source=lambda fill: None, list_fresh=lambda: []
+            ),
+            directory=types.SimpleNamespace(list_records=lambda: self.records),
+            moves=types.SimpleNamespace(
+                choose=lambda request, found, is_retry: (
+                    relay_moves.VersionChoice(upstreams=found)
+                )
+            ),
+            poison_guard=types.SimpleNamespace(
+                isolate_suspect=lambda request, found: found
+            ),
+            find_router=lambda service: relay_routers.LeastLoadedRouter(
+                zone="a"
+            ),
+            configurations=types.SimpleNamespace(),
+        )
+        self.host = host
+        self.apply_rate(self.rate)
+        host.upstreams = relay_upstreams.RelayUpstreams(host=host)
+        host.upstreams.cold._started_at -= cold_starts.SETTLE_SECONDS
+        host.upstreams.refresh()
+
+    def apply_rate(self, rate):
+        service = routes.Service(name="s", connections=9, cold_rate=rate)
+        self.host.configurations.current = routes.Configuration(
+            version=1, services=(service,)
+        )
+
+    def send(self):
+        request = types.SimpleNamespace(
+            service="s",
+            workload=relay_routers.Workload(),
+            route=types.SimpleNamespace(streamed=True),
+        )
+        selector = relay_selectors.UpstreamSelector(
+            host=self.host, request=request
+        )
+        return asyncio.run(selector.select(is_retry=False))
+
+    def send_all(self, count):
+        return [self.send() for _ in range(count)]
+
+
+@behave.given(
+    "cold: a host whose upstreams are cold for {first:g} and {second:g} "
+    "seconds"
+)
+def make_bench(context, first, second):
+    context.bench = ColdBench((first, second))
+
+
+@behave.when("cold: {count:d} requests arrive at once")
+def send_requests(context, count):
+    context.results = context.bench.send_all(count)
+    begun_at = time.monotonic()
+    context.results.append(context.bench.send())
+    context.seconds = time.monotonic() - begun_at
+
+
+@behave.then("cold: at most {most:d} were sent to each upstream")
+def check_sent(context, most):
+    names = [getattr(it, "name", "") for it in context.results]
+    for record in context.bench.records:
+        assert 1 <= names.count(record.name) <= most, names
+
+
+@behave.then(
+    "cold: the last was refused in {limit:g} s as {reason:w}, to return in "
+    "{wait:g} s"
+)
+def check_refused(context, limit, reason, wait):
+    failure = context.results[-1]
+    assert failure.reason is reasons.Reason(reason), failure
+    assert failure.ran is reasons.Ran.NO, failure
+    assert wait - 0.5 <= failure.retry_after <= wait, failure
+    assert context.seconds <= limit, context.seconds
+
+
+@behave.when("cold: the first upstream's entry is read again")
+def read_again(context):
+    cold = context.bench.host.upstreams.cold
+    context.remaining = cold.list_remaining("s")
+    time.sleep(0.2)
+    context.bench.host.upstreams.refresh()
+
+
+@behave.then("cold: its remaining time has not changed")
+def check_remaining(context):
+    cold = context.bench.host.upstreams.cold
+    for key, seconds in cold.list_remaining("s").items():
+        passed = context.remaining[key] - seconds
+        assert 0.19 <= passed <= 1.0, passed
+
+
+@behave.when("cold: a new revision says that the first upstream is warm")
+def write_warm(context):
+    first = context.bench.records[0]
+    context.bench.records[0] = upstream_directories.UpstreamRecord(
+        **{**vars(first), "warm_up_seconds": 0.0}
+    )
+
+
+@behave.when("cold: the configuration has no cold rate")
+def drop_rate(context):
+    context.bench.apply_rate(0.0)
+
+
+@behave.then("cold: {count:d} more requests that arrive at once are all sent")
+def check_all_sent(context, count):
+    for result in context.bench.send_all(count):
+        assert not isinstance(result, reasons.Failure), result
+
+
+@behave.given(
+    "cold: upstreams that take {start:g} s to start and are then cold for "
+    "{cold:g} s"
+)
+def make_service(context, start, cold):
+    offer = routes.Offer(
+        least=1, most=6, start_seconds=start, zone_prices={"a": 1.0}
+    )
+    context.service = routes.Service(
+        name="s",
+        connections=9,
+        offer=offer,
+        cold_start_seconds=cold,
+        cold_rate=cold_fleets.RATE,
+    )
+
+
+def assess(context, seconds):
+    records = ColdBench((seconds, 0.0)).records
+    remaining = {records[0].key: seconds}
+    return cold_capacities.assess(records, remaining, context.service)
+
+
+@behave.then(
+    "cold: one that is cold for {seconds:g} s counts when others are ordered"
+)
+def check_counted(context, seconds):
+    found = assess(context, seconds)
+    assert len(found.counted) == 2, found
+    count = found.complete_count(3, zone="a", reclaimable=False, most=6)
+    assert count == 3, count
+
+
+@behave.then("cold: one that is cold for {seconds:g} s is ordered in addition")
+def check_late(context, seconds):
+    found = assess(context, seconds)
+    assert [it.name for it in found.counted] == ["u1"], found
+    count = found.complete_count(3, zone="a", reclaimable=False, most=6)
+    assert count == 4, count
+    count = found.complete_count(6, zone="a", reclaimable=False, most=6)
+    assert count == 6, count
+
+
+@behave.then("cold: nothing is given back while one is cold")
+def check_kept(context):
+    assert assess(context, 1.0).any_cold
+    records = ColdBench((0.0,)).records
+    found = cold_capacities.assess(records, {}, context.service)
+    assert not found.any_cold
--- a/features/steps/relay_path_steps.py
+++ b/features/steps/relay_path_steps.py
@@ -7,6 +7,7 @@
 import behave
 
 from buckthornhold import admissions
+from buckthornhold import cold_upstreams
 from buckthornhold import counters
 from buckthornhold import engine_speeds
 from buckthornhold import logs
@@ -90,6 +91,7 @@
         list_service=lambda service: upstreams,
         find_retry_wait=lambda service: host.retry_wait_seconds,
         find_backoff_wait=lambda service: 0.0,
+        cold=cold_upstreams.ColdUpstreams(host=host),
     )
     host.moves = types.SimpleNamespace(
         choose=lambda request, upstreams, is_retry: relay_moves.VersionChoice(
