Evacuate zones and keep to allowed regions on the relayed path

The operator's documents besides the configuration were only ever added: a removed key stayed in force on every host, and a peer with an older document brought it back. The key op/evacuate/ZONE excludes a zone's upstreams from new requests; routes and workspaces with regions exclude zones of other regions.

--- a/buckthornhold/counters.py
+++ b/buckthornhold/counters.py
@@ -54,6 +54,8 @@
     "revisions.older_ignored",
     "revisions.store_went_back",
     "tasks.errors",
+    "evacuations.begun",
+    "evacuations.ended",
     "facts.push_failed",
     "provisions.ordered",
     "provisions.refused",
--- a/buckthornhold/fleet_orders.py
+++ b/buckthornhold/fleet_orders.py
@@ -1,5 +1,8 @@
 """Fleet orders: the holder of the duty orders upstreams by demand."""
 
+from collections.abc import Collection
+import dataclasses
+
 from buckthornhold import fleet_sizes
 from buckthornhold import reasons
 from buckthornhold import routes
@@ -44,13 +47,18 @@
             size = fleet_sizes.FleetSize(service=service.name)
             self._sizes[service.name] = size
         demand = self._find_demand(service.name)
+        # Evacuated zones are left as they are and bear no demand.
+        evacuated = self._host.placements.evacuated
+        offer = leave_zones(service.offer, evacuated)
+        if not offer.zone_prices:
+            return
         records = [
             it
             for it in self._host.directory.list_records()
-            if it.service == service.name
+            if it.service == service.name and it.zone not in evacuated
         ]
         orders = size.plan(
-            offer=service.offer,
+            offer=offer,
             demand=demand,
             records=records,
             moving=self._host.moves.is_moving(service.name),
@@ -63,6 +71,8 @@
         for order in orders:
             if not self._host.duty.held:
                 return
+            if order.zone in self._host.placements.evacuated:
+                continue
             await self._give(service.name, size, order, demand)
 
     async def _give(self, service, size, order, demand) -> None:
@@ -101,3 +111,15 @@
         for summary in self._host.summaries.list_fresh():
             demand += summary.demands.get(service, 0.0)
         return demand
+
+
+def leave_zones(
+    offer: routes.Offer, evacuated: Collection[str]
+) -> routes.Offer:
+    """Return an offer without the evacuated zones."""
+    prices = {
+        zone: price
+        for zone, price in offer.zone_prices.items()
+        if zone not in evacuated
+    }
+    return dataclasses.replace(offer, zone_prices=prices)
--- a/buckthornhold/platform/adapters.py
+++ b/buckthornhold/platform/adapters.py
@@ -2,6 +2,7 @@
 
 from buckthornhold import relay_platforms
 from buckthornhold.platform import configurations
+from buckthornhold.platform import evacuations
 from buckthornhold.platform import fenced_clients
 from buckthornhold.platform import ingress
 from buckthornhold.platform import rollouts
@@ -41,6 +42,10 @@
         """Return the key and the text of a rollout's status."""
         return rollouts.encode(progress)
 
+    def decode_evacuation(self, key):
+        """Return the zone that a key evacuates; None for any other key."""
+        return evacuations.decode(key)
+
     def make_upstream_session(self):
         """Return the HTTP session for requests to upstreams."""
         return upstream_clients.make_session()
--- a/buckthornhold/reasons.py
+++ b/buckthornhold/reasons.py
@@ -44,6 +44,7 @@
     ORDER_REFUSED = "order_refused"
     OUTCOME_UNKNOWN = "outcome_unknown"
     POISON_REQUEST = "poison_request"
+    REGION_NOT_ALLOWED = "region_not_allowed"
     RETRY_BUDGET = "retry_budget"
     RULE_CONFLICT = "rule_conflict"
     RULE_INVALID = "rule_invalid"
@@ -69,6 +70,7 @@
     UPSTREAM_TIMEOUT = "upstream_timeout"
     UPSTREAM_UNREACHABLE = "upstream_unreachable"
     VERSION_WITHDRAWN = "version_withdrawn"
+    ZONE_EVACUATED = "zone_evacuated"
     PEER_REFUSED = "peer_refused"
     PEER_UNREACHABLE = "peer_unreachable"
 
--- a/buckthornhold/relay_hosts.py
+++ b/buckthornhold/relay_hosts.py
@@ -56,6 +56,7 @@
 from buckthornhold.coordination import pause_detectors
 from buckthornhold.coordination import poison_detectors
 from buckthornhold.peers import summaries_pb2
+from buckthornhold.scheduling import placements
 
 #: How long a draining host still accepts connections: until the load
 #: balancer, which checks readiness once a second, has seen two failures.
@@ -141,6 +142,7 @@
             notify=self._handle_directory_change,
             count_hosts=self.count_hosts,
         )
+        self.placements = placements.Placements(regions=config.zone_regions)
         self.upstreams = relay_upstreams.RelayUpstreams(host=self)
         self.quotas = quotas.Quotas(
             window_seconds=config.bounds.limit_window,
@@ -190,6 +192,7 @@
         return (
             self.configurations.version > 0
             and self.directory.loaded
+            and self.placements.known
             and self.checkpoints.ready
             and self.poison_guard.ready
         )
--- a/buckthornhold/relay_platforms.py
+++ b/buckthornhold/relay_platforms.py
@@ -52,6 +52,10 @@
     def encode_move(self, progress: version_moves.Progress) -> tuple[str, str]:
         """Return the key and the text of a move's status for the operator."""
 
+    @abc.abstractmethod
+    def decode_evacuation(self, key: str) -> str | None:
+        """Return the zone that a key of the operator evacuates, if any."""
+
     @abc.abstractmethod
     def make_upstream_session(self) -> aiohttp.ClientSession:
         """Return the session for requests to upstreams."""
--- a/buckthornhold/relay_selectors.py
+++ b/buckthornhold/relay_selectors.py
@@ -9,6 +9,7 @@
 from buckthornhold import relay_routers
 from buckthornhold import relay_upstreams
 from buckthornhold.coordination import evidence
+from buckthornhold.scheduling import placements
 
 #: Wait before upstreams that refused the request are tried again.
 REFUSED_RETRY_PAUSE_SECONDS = 0.05
@@ -32,6 +33,10 @@
     def __init__(self, *, host, request: relay_messages.RelayRequest) -> None:
         self._host = host
         self._request = request
+        self._regions = placements.list_regions(
+            request.route.regions,
+            request.workspace.regions if request.workspace else (),
+        )
         self._tried: set[tuple[str, int]] = set()
         self.series: evidence.Series | None = None
         self._estimate = relay_routers.Estimate()
@@ -83,7 +88,9 @@
 
     def has_untried(self) -> bool:
         """Tell whether an upstream is available that was not tried yet."""
-        upstreams = self._host.upstreams.list_service(self._request.service)
+        upstreams = self._host.upstreams.list_service(
+            self._request.service, self._regions
+        )
         return any(upstream.key not in self._tried for upstream in upstreams)
 
     async def select(
@@ -94,7 +101,9 @@
         ``is_retry`` tells that the request was sent before.
         """
         ends_at = time.monotonic() + NO_UPSTREAM_TIMEOUT_SECONDS
-        wait = self._host.upstreams.find_retry_wait(self._request.service)
+        wait = self._host.upstreams.find_retry_wait(
+            self._request.service, self._regions
+        )
         if wait and not self._request.route.streamed:
             # The call would only time out. An engine may just be slow, so
             # streams are still sent.
@@ -105,7 +114,9 @@
         while True:
             choice = self._host.moves.choose(
                 self._request,
-                self._host.upstreams.list_service(self._request.service),
+                self._host.upstreams.list_service(
+                    self._request.service, self._regions
+                ),
                 is_retry=is_retry,
             )
             candidates = choice.upstreams
@@ -117,8 +128,12 @@
             if untried:
                 self.series = choice.series
                 return self._choose(untried)
+            if not candidates:
+                refusal = self._find_placement_refusal(is_retry)
+                if refusal is not None:
+                    return refusal
             wait = self._host.upstreams.find_backoff_wait(
-                self._request.service
+                self._request.service, self._regions
             )
             if wait and not candidates:
                 return _fail(
@@ -133,6 +148,24 @@
                 return _fail(f"no upstream for {self._request.service}")
             await asyncio.sleep(NO_UPSTREAM_POLL_SECONDS)
 
+    def _find_placement_refusal(
+        self, is_retry: bool
+    ) -> reasons.Failure | None:
+        """Return the refusal if no upstream is in a zone that is allowed."""
+        staying = [
+            upstream
+            for upstream in self._host.upstreams.list_all()
+            if upstream.record.service == self._request.service
+            and not upstream.leaving
+        ]
+        choice = self._host.moves.choose(
+            self._request, staying, is_retry=is_retry
+        )
+        return self._host.placements.find_refusal(
+            {upstream.record.zone for upstream in choice.upstreams},
+            self._regions,
+        )
+
     def _choose(
         self, untried: list[relay_upstreams.RelayUpstream]
     ) -> relay_upstreams.RelayUpstream:
--- a/buckthornhold/relay_upstreams.py
+++ b/buckthornhold/relay_upstreams.py
@@ -195,19 +195,19 @@
         """Return all upstreams, leaving ones included."""
         return list(self._upstreams.values())
 
-    def list_service(self, service: str) -> list[RelayUpstream]:
+    def list_service(self, service: str, regions=()) -> list[RelayUpstream]:
         """Return the upstreams of a service that may receive requests.
 
         Silent and failing ones are excluded unless none would be left, those
-        that want no requests in any case.
+        that want no requests and those in zones that aren't allowed in any
+        case. ``regions`` is a ``placements.Regions``.
         """
         self.refresh()
         now = time.monotonic()
         active = [
             upstream
-            for upstream in self._upstreams.values()
-            if upstream.record.service == service
-            and not upstream.leaving
+            for upstream in self._list_allowed(service, regions)
+            if not upstream.leaving
             and self._backoffs.admits(upstream.key, upstream.in_flight)
         ]
         healthy = [
@@ -217,7 +217,7 @@
         ]
         return exclude_failing(healthy) or healthy or active
 
-    def find_retry_wait(self, service: str) -> float:
+    def find_retry_wait(self, service: str, regions=()) -> float:
         """Return the seconds until an upstream of the service may be used.
 
         0 unless every one is excluded because requests were abandoned there.
@@ -226,23 +226,19 @@
         return min(
             (
                 upstream.find_retry_wait(now)
-                for upstream in self._upstreams.values()
-                if upstream.record.service == service and not upstream.leaving
+                for upstream in self._list_allowed(service, regions)
+                if not upstream.leaving
             ),
             default=0.0,
         )
 
-    def find_backoff_wait(self, service: str) -> float:
+    def find_backoff_wait(self, service: str, regions=()) -> float:
         """Return the seconds until an upstream of the service wants requests.
 
         0 unless upstreams are known and every one is leaving or has asked for
         no more requests.
         """
-        known = [
-            upstream
-            for upstream in self._upstreams.values()
-            if upstream.record.service == service
-        ]
+        known = self._list_allowed(service, regions)
         staying = [upstream for upstream in known if not upstream.leaving]
         if not known or any(
             self._backoffs.admits(upstream.key, upstream.in_flight)
@@ -252,6 +248,15 @@
         wait = self._backoffs.find_wait(upstream.key for upstream in staying)
         return wait or REPLACEMENT_WAIT_SECONDS
 
+    def _list_allowed(self, service, regions) -> list[RelayUpstream]:
+        allows = self._host.placements.allows
+        return [
+            upstream
+            for upstream in self._upstreams.values()
+            if upstream.record.service == service
+            and allows(upstream.record.zone, regions)
+        ]
+
     def refresh(self) -> None:
         """Update the upstreams from the directory's records."""
         listed = set()
--- a/buckthornhold/relay_watchers.py
+++ b/buckthornhold/relay_watchers.py
@@ -8,22 +8,30 @@
 import asyncio
 from collections.abc import Callable
 import functools
-import json
 
 import mode
 
 from buckthornhold import configurations
 from buckthornhold import logs
+from buckthornhold import operator_documents
 from buckthornhold import prefix_watchers
 from buckthornhold import reasons
 from buckthornhold import relay_platforms
 from buckthornhold import store_readers
 from buckthornhold import stores
+from buckthornhold import tasks
 from buckthornhold import upstream_directories
 from buckthornhold.coordination import broadcasts
 
 #: Topic of the operator's documents besides the configuration.
 ORDERS_TOPIC = "orders"
+#: Interval at which a host that has not read the store yet asks its peers for
+#: the operator's documents.
+SEARCH_INTERVAL_SECONDS = 0.5
+#: Replies without documents after which there are none: hosts of earlier
+#: builds offer nothing while there are none. Hosts of this build that know of
+#: documents are found by a probe within this time.
+MAX_EMPTY_REPLIES = 3
 
 
 class RelayWatchers:
@@ -39,8 +47,9 @@
         self._host = host
         self._platform = platform
         self._store_age = store_age
-        #: The operator's documents besides the configuration, by key.
-        self._orders: dict[str, stores.Entry] = {}
+        self._orders = operator_documents.OperatorDocuments(
+            excluded=platform.configuration_key
+        )
         bound = host.settings.bounds.config_seconds
         self._read_policy = store_readers.StoreReadPolicy(
             max_age_seconds=store_readers.MAX_AGE_SHARE * bound,
@@ -52,7 +61,7 @@
         host.broadcasts.add_topic(
             ORDERS_TOPIC,
             read=self._make_orders_document,
-            read_version=self._read_orders_version,
+            read_version=lambda: self._orders.version,
             apply=self._apply_orders_document,
         )
 
@@ -62,8 +71,8 @@
         return [
             self._make_watcher(
                 self._platform.configuration_prefix,
-                apply_snapshot=self._apply_documents,
-                apply_change=self._apply_documents,
+                apply_snapshot=self._apply_snapshot,
+                apply_change=self._apply_change,
             ),
             self._make_watcher(
                 self._platform.directory_prefix,
@@ -72,6 +81,7 @@
                 notify=directory.set_store_reached,
                 read_batch_seconds=lambda: directory.batch_seconds,
             ),
+            _OrdersSearch(host=self._host, adopt=self._adopt_orders),
         ]
 
     def is_watcher(self) -> bool:
@@ -82,7 +92,7 @@
         """Read the prefixes again, after a pause of the process."""
         platform = self._platform
         await asyncio.gather(
-            self._read(platform.configuration_prefix, self._apply_documents),
+            self._read(platform.configuration_prefix, self._apply_snapshot),
             self._read(
                 platform.directory_prefix, self._apply_directory_snapshot
             ),
@@ -97,22 +107,50 @@
             store_readers.PURPOSE
         )
 
-    def _apply_documents(self, change: stores.Change) -> None:
+    def _apply_snapshot(self, change: stores.Change) -> None:
+        self._apply_documents(change, self._orders.apply_snapshot)
+
+    def _apply_change(self, change: stores.Change) -> None:
+        self._apply_documents(change, self._orders.apply_change)
+
+    def _apply_documents(
+        self,
+        change: stores.Change,
+        apply: Callable[[stores.Change], operator_documents.Update],
+    ) -> None:
         """Apply the operator's changed documents; push the new ones."""
-        configuration_version = self._host.configurations.version
-        orders_version = self._read_orders_version()
+        version = self._host.configurations.version
         self._host.configurations.apply_change(change)
-        self._apply_orders(change)
-        if self._host.configurations.version > configuration_version:
+        update = apply(change)
+        self._adopt_orders(update)
+        if self._host.configurations.version > version:
             self._publish(configurations.TOPIC)
-        if self._read_orders_version() > orders_version:
+        if update:
             self._publish(ORDERS_TOPIC)
 
-    def _apply_orders(self, change: stores.Change) -> None:
-        for entry in change.entries:
-            if entry.key != self._platform.configuration_key:
-                self._orders[entry.key] = entry
-        self._host.moves.apply_change(change)
+    def _adopt_orders(self, update: operator_documents.Update) -> None:
+        """Let the other parts follow changed orders."""
+        self._host.moves.apply_change(
+            stores.Change(
+                revision=self._orders.version, entries=update.entries
+            )
+        )
+        zones = [
+            self._platform.decode_evacuation(entry.key)
+            for entry in self._orders.entries
+        ]
+        change = self._host.placements.set_evacuated(filter(None, zones))
+        for zone in change.begun:
+            self._host.counters.count_event("evacuations.begun")
+            self._log_evacuation(zone, "evacuated, gets no new requests")
+        for zone in change.ended:
+            self._host.counters.count_event("evacuations.ended")
+            self._log_evacuation(zone, "evacuation was taken back")
+
+    def _log_evacuation(self, zone: str, text: str) -> None:
+        self._host.logger.bind(step="evacuate", peer=zone).warning(
+            f"{text}, orders of version {self._orders.version}"
+        )
 
     def _apply_directory_snapshot(self, change: stores.Change) -> None:
         self._apply_to_directory(self._host.directory.apply_snapshot, change)
@@ -134,32 +172,29 @@
         if not self._host.summaries.full_mesh:
             self._host.broadcasts.publish_in_zone(topic)
 
-    def _read_orders_version(self) -> int:
-        return max(
-            (entry.version for entry in self._orders.values()), default=0
-        )
-
     def _make_orders_document(self) -> broadcasts.Document:
-        body = {
-            entry.key: [entry.version, entry.value]
-            for entry in self._orders.values()
-        }
         return broadcasts.Document(
             topic=ORDERS_TOPIC,
-            version=self._read_orders_version(),
-            body=json.dumps(body),
+            version=self._orders.version,
+            body=self._orders.make_body(),
         )
 
     def _apply_orders_document(self, document: broadcasts.Document) -> bool:
-        if document.version <= self._read_orders_version():
+        if document.version <= self._orders.version:
             return False
-        entries = tuple(
-            stores.Entry(key=key, value=value, version=version)
-            for key, (version, value) in json.loads(document.body).items()
-        )
-        self._apply_orders(
-            stores.Change(revision=document.version, entries=entries)
-        )
+        try:
+            update = self._orders.apply_body(
+                document.body, version=document.version
+            )
+        except ValueError as error:
+            self._host.logger.bind(step="orders").error(
+                f"invalid documents of version {document.version}: {error}"
+            )
+            return False
+        self._adopt_orders(update)
+        if self._orders.version > document.version:
+            # The sender still lists documents that were removed.
+            self._publish(ORDERS_TOPIC)
         return True
 
     def _make_watcher(
@@ -187,3 +222,46 @@
             return
         take(change)
         self._store_age.record_answer(prefix)
+
+
+class _OrdersSearch(tasks.PeriodicService):
+    """Asks the peers for the operator's documents until they are known.
+
+    A host that starts while it can't read the store gets them from peers.
+    ``adopt`` is called if there are none.
+    """
+
+    def __init__(
+        self,
+        *,
+        host,
+        adopt: Callable[[operator_documents.Update], None],
+    ) -> None:
+        super().__init__(
+            interval=SEARCH_INTERVAL_SECONDS,
+            logger=host.logger,
+            counters=host.counters,
+        )
+        self._host = host
+        self._adopt = adopt
+        self._empty_replies = 0
+
+    async def run_once(self) -> None:
+        """Ask some peers, unless the documents are known."""
+        if (
+            self._host.placements.known
+            or not self._host.configurations.version
+        ):
+            return
+        replied = await self._host.broadcasts.pull_from_random_members(
+            ORDERS_TOPIC
+        )
+        if self._host.placements.known or not replied:
+            return
+        self._empty_replies += 1
+        if self._empty_replies < MAX_EMPTY_REPLIES:
+            return
+        self._logger.bind(step="orders").info(
+            "no peer knows of orders by the operator"
+        )
+        self._adopt(operator_documents.Update())
--- a/features/steps/relay_path_steps.py
+++ b/features/steps/relay_path_steps.py
@@ -22,6 +22,7 @@
 from buckthornhold import tasks
 from buckthornhold import upstream_directories
 from buckthornhold.coordination import evidence
+from buckthornhold.scheduling import placements
 from testbed import scripted_upstreams
 
 INTERVAL_TOLERANCE_SECONDS = 0.1
@@ -87,10 +88,13 @@
     host.pauses = types.SimpleNamespace(wait_until_fresh=return_at_once)
     host.retry_wait_seconds = 0.0
     host.upstreams = types.SimpleNamespace(
-        list_service=lambda service: upstreams,
-        find_retry_wait=lambda service: host.retry_wait_seconds,
-        find_backoff_wait=lambda service: 0.0,
+        list_all=lambda: upstreams,
+        list_service=lambda service, regions: upstreams,
+        find_retry_wait=lambda service, regions: host.retry_wait_seconds,
+        find_backoff_wait=lambda service, regions: 0.0,
     )
+    host.placements = placements.Placements()
+    host.placements.set_evacuated(())
     host.moves = types.SimpleNamespace(
         choose=lambda request, upstreams, is_retry: relay_moves.VersionChoice(
             upstreams=upstreams, series=SERIES
--- a/features/steps/relay_upstreams_steps.py
+++ b/features/steps/relay_upstreams_steps.py
@@ -12,6 +12,7 @@
 from buckthornhold import relay_upstreams
 from buckthornhold import upstream_directories
 from buckthornhold.peers import summaries_pb2
+from buckthornhold.scheduling import placements
 
 
 class UpstreamBench:
@@ -40,7 +41,9 @@
                 aggregation_delay_seconds=0.0,
             ),
             engine_speeds=engine_speeds.EngineSpeeds(),
+            placements=placements.Placements(),
         )
+        host.placements.set_evacuated(())
         self.upstreams = relay_upstreams.RelayUpstreams(host=host)
         self.upstreams.refresh()
         self.by_name = {
