Evacuate zones by a line of the operators' rules

The line 'evacuate zone=NAME' and buckthornctl evacuate ZONE [--end] add and remove a revision; the zone's engines and services get no new work, and capacity rules order nothing there.

--- a/buckthornhold/answers.py
+++ b/buckthornhold/answers.py
@@ -200,7 +200,9 @@
     ) -> reasons.Failure | None:
         answer.synced = len(answer.stream.emitted)
         held = await self._host.handovers.hold(
-            answer.make_record(self._settings.host), is_retry=again
+            answer.make_record(self._settings.host),
+            is_retry=again,
+            allows=self._host.versions.make_zone_check(answer.stream.contract),
         )
         if isinstance(held, reasons.Failure):
             return held
--- a/buckthornhold/attempt_plans.py
+++ b/buckthornhold/attempt_plans.py
@@ -6,6 +6,8 @@
 
 from buckthornhold import attempts
 from buckthornhold import engines
+from buckthornhold import evacuations
+from buckthornhold import hosts
 from buckthornhold import pools
 from buckthornhold import reasons
 from buckthornhold import request_contracts
@@ -97,7 +99,11 @@
             return self._make_no_upstream_failure(rule, "")
         if all(map(self._host.silences.is_lost, candidates)):
             return self._make_no_upstream_failure(rule, " responds")
-        if target is None or target.leaving:
+        if (
+            target is None
+            or target.leaving
+            or not self._host.upstreams.placements.allows(target.record.zone)
+        ):
             target = self._host.router.choose(candidates, self._contract)
         return self._make_numbered_attempt(target, rule.version)
 
@@ -269,6 +275,14 @@
 
         It may be retried when the first pause of an upstream ends.
         """
+        refusal = evacuations.find_refusal(
+            self._host,
+            hosts.HostKind.ENGINE,
+            f"{rule.model}@{rule.version}",
+            rule,
+        )
+        if refusal is not None:
+            return refusal.replace(ran=self._ran)
         allowed = self._host.upstreams.list_engines_for_rule(rule)
         wait = self._host.backoffs.find_wait(
             upstream.key for upstream in allowed
--- a/buckthornhold/calls.py
+++ b/buckthornhold/calls.py
@@ -10,7 +10,9 @@
 from buckthornhold import backoffs
 from buckthornhold import claimed_calls
 from buckthornhold import dispatches
+from buckthornhold import evacuations
 from buckthornhold import headers
+from buckthornhold import hosts
 from buckthornhold import reasons
 from buckthornhold import request_contracts
 from buckthornhold import rules
@@ -122,7 +124,10 @@
         if not contract.idempotent:
             candidates = self._prefer_own_zone(candidates)
         if not candidates:
-            return reasons.Failure(
+            refusal = evacuations.find_refusal(
+                self._host, hosts.HostKind.SERVICE, service
+            )
+            return refusal or reasons.Failure(
                 reason=reasons.Reason.NO_UPSTREAM,
                 step="route",
                 detail=f"no upstream for {service}",
--- a/buckthornhold/coordination/handovers.py
+++ b/buckthornhold/coordination/handovers.py
@@ -166,10 +166,16 @@
         return [link for _, _, link in entries]
 
     async def hold(
-        self, record: Record, *, is_retry: bool = False
+        self,
+        record: Record,
+        *,
+        is_retry: bool = False,
+        allows: Callable[[str], bool] = lambda zone: True,
     ) -> str | reasons.Failure:
         """Replicate a record; return its holder, or "" if none was reached.
 
+        ``allows`` tells whether hosts of a zone may hold it.
+
         A failure means that no holder has room or that the id is already
         known; the request was not run. With ``is_retry`` no client waits, so
         hosts in backoff are tried as well.
@@ -178,7 +184,7 @@
         try:
             async with asyncio.timeout(HOLD_TOTAL_TIMEOUT_SECONDS):
                 for link in self._list_hold_candidates(
-                    record.request_id, is_retry
+                    record.request_id, is_retry, allows
                 ):
                     outcome = await self._hold_at(link, record)
                     if outcome == handovers_pb2.HOLD_HELD:
@@ -306,12 +312,16 @@
         for host in self._stubs.keys() - hosts:
             del self._stubs[host]
 
-    def _list_hold_candidates(self, request_id: str, is_retry: bool) -> list:
+    def _list_hold_candidates(
+        self, request_id: str, is_retry: bool, allows: Callable[[str], bool]
+    ) -> list:
         """Return the holders to try; unresponsive ones come last.
 
         This way a zone behind a network partition holds its own records.
         """
-        links = self.list_holders(request_id)
+        links = [
+            link for link in self.list_holders(request_id) if allows(link.zone)
+        ]
         if not is_retry:
             links = [link for link in links if not self._is_backing_off(link)]
         links.sort(
--- a/buckthornhold/daemons.py
+++ b/buckthornhold/daemons.py
@@ -19,6 +19,7 @@
 from buckthornhold import connections
 from buckthornhold import counters
 from buckthornhold import drains
+from buckthornhold import evacuations
 from buckthornhold import exchanges
 from buckthornhold import grammars
 from buckthornhold import hosts
@@ -385,6 +386,7 @@
             return
         was_ready = self._rules.rules
         self._rules = parsed
+        evacuations.adopt_rules(self, parsed, revision.number)
         self.versions.adopt(parsed)
         self.moves.adopt(parsed, revision.number)
         if parsed.is_drained(self._settings.host):
--- a/buckthornhold/grammars.py
+++ b/buckthornhold/grammars.py
@@ -97,6 +97,11 @@
             required=("host",),
             keys={"host": values.Name()},
         ),
+        Verb(
+            kind=rules.EvacuateRule,
+            required=("zone",),
+            keys={"zone": values.Name()},
+        ),
     )
 }
 
--- a/buckthornhold/provisioners.py
+++ b/buckthornhold/provisioners.py
@@ -163,7 +163,11 @@
         ledger: provisions.Ledger,
         listed: dict[str, provisions.ListedHost],
     ) -> Plan:
-        offers = tuple(it for it in offers if _is_allowed(rule, it))
+        # Evacuated zones are left as they are and count as empty.
+        allows = self._host.upstreams.placements.allows
+        offers = tuple(
+            it for it in offers if _is_allowed(rule, it) and allows(it.zone)
+        )
         zones = {link.zone for link in self._host.links.list_all()}
         zones.add(self._settings.zone)
         need = capacities.Requirement(
@@ -173,7 +177,10 @@
             max_hosts=rule.most,
             zones=tuple(sorted(zones.intersection(it.zone for it in offers))),
         )
-        counts = provisions.count_hosts(ledger.provisions, listed.values())
+        counts = provisions.count_hosts(
+            [it for it in ledger.provisions if allows(it.zone)],
+            [it for it in listed.values() if allows(it.zone)],
+        )
         refused = self._refusals.list_places()
         inputs = (need, offers, counts.held, refused)
         if watched.chosen[0] != inputs:
--- a/buckthornhold/recents.py
+++ b/buckthornhold/recents.py
@@ -199,6 +199,9 @@
     if request.failure.reason is reasons.Reason.LIMIT_REACHED:
         limit = rule_set.find_limit(request.workspace)
         return [limit] if limit else []
+    if request.failure.reason is reasons.Reason.ZONE_EVACUATED:
+        evacuations: list[rules.Rule] = [*rule_set.list_evacuations()]
+        return evacuations + list_routing(rule_set, request.route)
     if request.failure.step not in ROUTING_STEPS:
         return []
     return list_routing(rule_set, request.route)
--- a/buckthornhold/relay_watchers.py
+++ b/buckthornhold/relay_watchers.py
@@ -12,6 +12,7 @@
 import mode
 
 from buckthornhold import configurations
+from buckthornhold import evacuations
 from buckthornhold import logs
 from buckthornhold import operator_documents
 from buckthornhold import prefix_watchers
@@ -139,17 +140,11 @@
             self._platform.decode_evacuation(entry.key)
             for entry in self._orders.entries
         ]
-        change = self._host.placements.set_evacuated(filter(None, zones))
-        for zone in change.begun:
-            self._host.counters.count_event("evacuations.begun")
-            self._log_evacuation(zone, "evacuated, gets no new requests")
-        for zone in change.ended:
-            self._host.counters.count_event("evacuations.ended")
-            self._log_evacuation(zone, "evacuation was taken back")
-
-    def _log_evacuation(self, zone: str, text: str) -> None:
-        self._host.logger.bind(step="evacuate", peer=zone).warning(
-            f"{text}, orders of version {self._orders.version}"
+        evacuations.adopt(
+            self._host,
+            self._host.placements,
+            filter(None, zones),
+            origin=f"orders of version {self._orders.version}",
         )
 
     def _apply_directory_snapshot(self, change: stores.Change) -> None:
--- a/buckthornhold/reports.py
+++ b/buckthornhold/reports.py
@@ -50,8 +50,15 @@
 
 
 def describe_versions(host) -> dict:
-    """Return moves, withdrawals and poison requests as one host knows them."""
-    return {**host.moves.describe(), "poison": host.quarantines.describe()}
+    """Return moves, withdrawals, poison requests and evacuated zones.
+
+    They are as one host knows them.
+    """
+    return {
+        **host.moves.describe(),
+        "poison": host.quarantines.describe(),
+        "evacuated": sorted(host.upstreams.placements.evacuated),
+    }
 
 
 def describe_upstreams(host) -> list[dict]:
@@ -67,6 +74,9 @@
             "in_flight": upstream.in_flight,
             "leaving": upstream.leaving,
             "drained": host.rules.is_drained(upstream.name),
+            "evacuated": not host.upstreams.placements.allows(
+                upstream.record.zone
+            ),
         }
         for upstream in host.upstreams.list_all()
     ]
--- a/buckthornhold/resumptions.py
+++ b/buckthornhold/resumptions.py
@@ -133,8 +133,14 @@
     def _find_upstream(
         self, record: handovers.Record
     ) -> upstreams.Upstream | None:
+        """Return the upstream that may have kept a request's text.
+
+        None if its zone is evacuated, since no stream is resumed there.
+        """
         key = (record.upstream, record.upstream_incarnation)
         for upstream in self._host.upstreams.list_all():
-            if upstream.key == key:
+            if upstream.key != key:
+                continue
+            if self._host.upstreams.placements.allows(upstream.record.zone):
                 return upstream
         return None
--- a/buckthornhold/rules.py
+++ b/buckthornhold/rules.py
@@ -46,6 +46,12 @@
     zones: tuple[str, ...] = (ANY,)
     classes: tuple[str, ...] = (ANY,)
 
+    def allows(self, record) -> bool:
+        """Tell whether a listed host is in the rule's zones and classes."""
+        return includes(self.zones, record.zone) and includes(
+            self.classes, record.host_class
+        )
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class MoveRule(Rule):
@@ -113,6 +119,16 @@
     host: str
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class EvacuateRule(Rule):
+    """A zone whose upstreams get no new requests."""
+
+    verb = "evacuate"
+    key_fields = ("zone",)
+
+    zone: str
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class CapacityRule(Rule):
     """How many hosts a model version may have ordered for it.
@@ -189,6 +205,10 @@
         """Tell whether a host is to get no new work."""
         return self.find_drain(host) is not None
 
+    def list_evacuations(self) -> list[EvacuateRule]:
+        """Return the rules that evacuate zones."""
+        return [it for it in self.rules if isinstance(it, EvacuateRule)]
+
     @functools.cached_property
     def _by_key(self) -> dict[tuple, Rule]:
         return {rule.key: rule for rule in self.rules}
@@ -212,6 +232,11 @@
         }
 
 
+def includes(names: tuple[str, ...], name: str) -> bool:
+    """Tell whether a rule's list of names includes a name."""
+    return ANY in names or name in names
+
+
 class ChangeKind(enum.StrEnum):
     """What happened to a rule between two rule sets."""
 
--- a/buckthornhold/scheduling/placements.py
+++ b/buckthornhold/scheduling/placements.py
@@ -35,9 +35,16 @@
     requests to a zone whose evacuation it has not heard of yet.
     """
 
-    def __init__(self, *, regions: Mapping[str, str] | None = None) -> None:
+    def __init__(
+        self,
+        *,
+        regions: Mapping[str, str] | None = None,
+        evacuated: Iterable[str] | None = None,
+    ) -> None:
         self._regions = dict(regions or {})
         self._evacuated: frozenset[str] | None = None
+        if evacuated is not None:
+            self._evacuated = frozenset(evacuated)
 
     @property
     def known(self) -> bool:
--- a/buckthornhold/streams.py
+++ b/buckthornhold/streams.py
@@ -19,6 +19,11 @@
 from buckthornhold import waits
 from buckthornhold import watches
 
+#: Failures after which a started answer waits for an upstream.
+MISSING_UPSTREAM_REASONS = (
+    reasons.Reason.NO_UPSTREAM,
+    reasons.Reason.ZONE_EVACUATED,
+)
 MOVE_TIMEOUT_SECONDS = 5.0
 HAND_OVER_TIMEOUT_SECONDS = 0.5
 
@@ -241,7 +246,7 @@
                 if self._check.missing:
                     self._host.counters.count_event("streams.regenerated")
                 return attempt
-            missing = attempt.reason is reasons.Reason.NO_UPSTREAM
+            missing = attempt.reason in MISSING_UPSTREAM_REASONS
             if not missing or not self._plan.answer_started:
                 return attempt
             await self._wait.sleep(self._settings.retry_pause_limit / 2)
--- a/buckthornhold/tools/buckthornctl.py
+++ b/buckthornhold/tools/buckthornctl.py
@@ -5,6 +5,7 @@
 import cappa
 
 from buckthornhold.tools import capacity_commands
+from buckthornhold.tools import evacuate_commands
 from buckthornhold.tools import explain_commands
 from buckthornhold.tools import fleet_commands
 from buckthornhold.tools import rule_commands
@@ -28,6 +29,7 @@
         | fleet_commands.Drain
         | fleet_commands.Undrain
         | fleet_commands.DrainHere
+        | evacuate_commands.Evacuate
         | explain_commands.Explain
         | settings_commands.Settings
     ]
--- a/buckthornhold/tools/fleet_commands.py
+++ b/buckthornhold/tools/fleet_commands.py
@@ -70,7 +70,11 @@
 
 
 def print_versions(status: dict) -> None:
-    """Print moves and withdrawn versions, if there are any."""
+    """Print evacuated zones, moves and withdrawn versions, if any."""
+    evacuated = status.get("evacuated", [])
+    if evacuated:
+        print(f"evacuated zones: {', '.join(evacuated)}")
+        print()
     moves = status.get("moves", [])
     if moves:
         tables.print_table(
@@ -128,6 +132,8 @@
     state = "leaving" if upstream["leaving"] else "live"
     if upstream["drained"]:
         state = "drained"
+    elif upstream.get("evacuated"):
+        state = "evacuated"
     return (
         upstream["host"],
         upstream["kind"],
--- a/buckthornhold/upstreams.py
+++ b/buckthornhold/upstreams.py
@@ -21,6 +21,7 @@
 from buckthornhold import tasks
 from buckthornhold.coordination import departures
 from buckthornhold.coordination import host_rankings
+from buckthornhold.scheduling import placements
 
 #: An unreachable service gets no new work for this long, while there are
 #: others.
@@ -93,6 +94,7 @@
         self._list_failed = False
         self._pools = pools.PoolCache()
         self._pooled_rules: rules.RuleSet | None = None
+        self.placements = placements.Placements(evacuated=())
         self.departures = departures.Departures(
             list_links=host.links.list_all,
             on_departure=self._apply_departure,
@@ -137,8 +139,7 @@
             lambda: [
                 upstream
                 for upstream in engines_of
-                if _allows(rule.zones, upstream.record.zone)
-                and _allows(rule.classes, upstream.record.host_class)
+                if rule.allows(upstream.record)
             ],
         )
 
@@ -175,7 +176,9 @@
 
     def _accepts_work(self, upstream: Upstream) -> bool:
         return not (
-            upstream.leaving or self._host.rules.is_drained(upstream.name)
+            upstream.leaving
+            or self._host.rules.is_drained(upstream.name)
+            or not self.placements.allows(upstream.record.zone)
         )
 
     def mark_leaving(
@@ -389,7 +392,3 @@
         if announcement.leaving and not upstream.leaving:
             self._host.counters.count_event("upstreams.announced_leaving")
             self.mark_leaving(upstream)
-
-
-def _allows(allowed: tuple[str, ...], name: str) -> bool:
-    return rules.ANY in allowed or name in allowed
--- a/buckthornhold/versions.py
+++ b/buckthornhold/versions.py
@@ -1,5 +1,7 @@
 """Versions: which version of a model a request goes to."""
 
+from collections.abc import Callable
+import functools
 import weakref
 
 from buckthornhold import attempts
@@ -50,6 +52,23 @@
             wanted = [plan.new, plan.old]
         return self._pick(allowed, wanted)
 
+    def make_zone_check(
+        self, contract: request_contracts.RequestContract
+    ) -> Callable[[str], bool]:
+        """Return what tells whether a request's body may be sent to a zone.
+
+        These are the zones of the rule that serves it, or of all its rules
+        while none of them does.
+        """
+        rule = self.choose(contract)
+        if isinstance(rule, rules.ServeRule):
+            return functools.partial(rules.includes, rule.zones)
+        zones: set[str] = set()
+        for served in self._rules.list_serves(contract.route):
+            if _matches(served, contract.workspace):
+                zones.update(served.zones)
+        return functools.partial(rules.includes, tuple(zones or {rules.ANY}))
+
     def compares(
         self, contract: request_contracts.RequestContract, plan: moves.Plan
     ) -> bool:
