--- a/buckthornhold/operator_documents.py
+++ b/buckthornhold/operator_documents.py
@@ -1,9 +1,10 @@
 """Operator documents: what the operator wrote, with versions and removals.
 
 Hosts learn the documents from snapshots and changes of the store and from
-each other. Peers may be behind, so a host also keeps the revision of the
-store up to which its documents are complete: a document that is older and
-missing there was removed, whoever still lists it.
+each other. A host keeps the store's revision up to which its documents are
+complete, so it holds exactly what the store had at that revision. Of two
+hosts the one that is complete up to a higher revision is right, also about
+what was removed.
 """
 
 from collections.abc import Iterable
@@ -12,11 +13,11 @@
 
 from buckthornhold import stores
 
-#: Name under which a broadcast carries the complete revision. Builds that
-#: know only documents read it as a document whose key means nothing.
+#: Name under which a body carries the complete revision. The previous build
+#: reads it as a document whose key means nothing.
 COMPLETE_KEY = ""
-#: Version of documents that were read while there were none, so that hosts
-#: that have read nothing yet ask for them.
+#: Version while there are no documents, so that hosts that have read nothing
+#: yet learn that there are none.
 MIN_VERSION = 1
 
 
@@ -40,14 +41,14 @@
         #: Store revision up to which all changes are applied.
         self._complete_revision = 0
         self._version = 0
-        self._has_snapshot = False
 
     @property
     def version(self) -> int:
-        """Number that rises with each change of the documents.
+        """Revision at which the store had these documents, 0 if none read.
 
-        It is 0 until they were read, and otherwise the store's revision of
-        the latest change or a little more.
+        It is raised only with a change, or when a peer is found to be behind,
+        so that reading the same documents again pushes nothing. Hosts of the
+        same version hold the same documents.
         """
         return self._version
 
@@ -58,31 +59,37 @@
 
     def apply_snapshot(self, change: stores.Change) -> Update:
         """Apply all documents that the store has at a revision."""
-        update = self._merge(change.entries, complete=change.revision)
-        if update:
-            self._raise_version(update, change.revision)
-        if self._entries and not self._has_snapshot:
-            # A peer may hold a document that was removed before this host
-            # read the store for the first time. It asks for this host's
-            # documents only if they have a higher version.
+        if change.revision < self._complete_revision:
+            return Update()
+        is_first = not self._complete_revision
+        update = self._replace(change.entries)
+        self._complete_revision = change.revision
+        # A peer may hold a document that was removed before this host read
+        # the store for the first time. It only asks for a higher version.
+        if update or (is_first and self._entries):
             self._version = max(self._version, change.revision)
-        self._has_snapshot = True
         self._version = max(self._version, MIN_VERSION)
         return update
 
     def apply_change(self, change: stores.Change) -> Update:
-        """Apply the changes since the last snapshot or change."""
-        entries = self._take_newer(change.entries)
-        removed = self._remove(
-            key
-            for key in change.deleted
-            if key in self._entries
-            and self._entries[key].version <= change.revision
-        )
-        self._complete_revision = max(self._complete_revision, change.revision)
-        update = Update(entries=entries, removed=removed)
+        """Apply the changes since the last snapshot or change.
+
+        A peer may have been ahead: what it knew is not applied again.
+        """
+        if change.revision <= self._complete_revision:
+            return Update()
+        entries = {
+            key: entry
+            for key, entry in self._entries.items()
+            if key not in change.deleted
+        }
+        for entry in change.entries:
+            if entry.version > self._complete_revision:
+                entries[entry.key] = entry
+        update = self._replace(entries.values())
+        self._complete_revision = change.revision
         if update:
-            self._raise_version(update, change.revision)
+            self._version = max(self._version, change.revision)
         return update
 
     def apply_body(self, body: str, *, version: int) -> Update:
@@ -90,20 +97,20 @@
 
         Raises ValueError for a body that ``make_body`` can't have written.
         """
-        listed, complete = _parse_body(body)
-        entries = [
-            entry
-            for entry in listed
-            if entry.key in self._entries
-            or entry.version > self._complete_revision
-        ]
-        has_stale = len(entries) < len(listed)
-        update = self._merge(entries, complete=complete)
-        self._version = max(self._version, version)
-        if has_stale:
-            # The peer asks for these documents only if they are newer.
-            self._version = max(version + 1, self._complete_revision)
-        return update
+        entries, complete = _parse_body(body, version)
+        if complete is None:
+            return self._merge_previous_build(entries)
+        if complete >= self._complete_revision:
+            update = self._replace(entries)
+            self._complete_revision = complete
+            self._version = max(self._version, version)
+            return update
+        if {it.key: it for it in entries} != self._entries:
+            # The peer is behind, and asks only for a higher version.
+            self._version = max(self._version, self._complete_revision)
+        else:
+            self._version = max(self._version, version)
+        return Update()
 
     def make_body(self) -> str:
         """Return the documents as peers apply them."""
@@ -111,76 +118,69 @@
             entry.key: [entry.version, entry.value]
             for entry in self._entries.values()
         }
-        body[COMPLETE_KEY] = [self._version, str(self._complete_revision)]
+        complete = f"{self._complete_revision} {len(self._entries)}"
+        body[COMPLETE_KEY] = [self._version, complete]
         return json.dumps(body)
 
     def forget_revisions(self) -> None:
         """Forget all revisions, but keep the documents.
 
-        For a store that was restored from a copy: any revision is newer then,
-        and the next snapshot removes the documents that it doesn't have.
+        For a store that was restored from a copy: its next snapshot replaces
+        the documents, whatever its revision. Until then no body that a peer
+        wrote before the restoration must be applied.
         """
-        self._entries = {
-            key: dataclasses.replace(entry, version=0)
-            for key, entry in self._entries.items()
-        }
         self._complete_revision = 0
         self._version = 0
-        self._has_snapshot = False
-
-    def _merge(
-        self, entries: Iterable[stores.Entry], *, complete: int
-    ) -> Update:
-        """Apply documents that are complete up to a revision."""
-        entries = tuple(entries)
-        listed = {entry.key for entry in entries}
-        removed = self._remove(
-            key
-            for key, entry in self._entries.items()
-            if key not in listed and entry.version <= complete
+
+    def _replace(self, entries: Iterable[stores.Entry]) -> Update:
+        """Hold these documents; return what differs."""
+        before = self._entries
+        self._entries = {
+            entry.key: entry
+            for entry in entries
+            if entry.key != self._excluded
+        }
+        return Update(
+            entries=tuple(
+                entry
+                for key, entry in self._entries.items()
+                if before.get(key) != entry
+            ),
+            removed=tuple(before.keys() - self._entries.keys()),
         )
-        taken = self._take_newer(entries)
-        self._complete_revision = max(self._complete_revision, complete)
-        return Update(entries=taken, removed=removed)
-
-    def _take_newer(
-        self, entries: Iterable[stores.Entry]
-    ) -> tuple[stores.Entry, ...]:
-        taken = []
+
+    def _merge_previous_build(self, entries: list[stores.Entry]) -> Update:
+        """Add what is newer; the previous build forgets no removed ones.
+
+        The version stays, so that this host goes on to ask hosts that know of
+        removals.
+        """
+        merged = dict(self._entries)
         for entry in entries:
-            known = self._entries.get(entry.key)
-            if entry.key == self._excluded:
-                continue
-            if known is not None and entry.version <= known.version:
-                continue
-            self._entries[entry.key] = entry
-            taken.append(entry)
-        return tuple(taken)
-
-    def _remove(self, keys: Iterable[str]) -> tuple[str, ...]:
-        removed = tuple(keys)
-        for key in removed:
-            del self._entries[key]
-        return removed
-
-    def _raise_version(self, update: Update, revision: int) -> None:
-        """Give documents that the store changed a higher version."""
-        latest = max((entry.version for entry in update.entries), default=0)
-        if update.removed:
-            latest = max(latest, revision)
-        self._version = max(self._version + 1, latest)
-
-
-def _parse_body(body: str) -> tuple[list[stores.Entry], int]:
-    """Return the documents and the revision up to which they are complete."""
-    complete = 0
+            known = merged.get(entry.key)
+            oldest = known.version if known else self._complete_revision
+            if entry.version > oldest:
+                merged[entry.key] = entry
+        return self._replace(merged.values())
+
+
+def _parse_body(
+    body: str, version: int
+) -> tuple[list[stores.Entry], int | None]:
+    """Return the documents and the revision up to which they are complete.
+
+    It is None if the previous build wrote the body. That build passes on the
+    revision that it was told, with documents that it has besides.
+    """
+    complete = count = None
     entries = []
     try:
-        for key, (version, value) in json.loads(body).items():
-            if key == COMPLETE_KEY:
-                complete = int(value)
-                continue
-            entries.append(stores.Entry(key=key, value=value, version=version))
+        for key, (number, value) in json.loads(body).items():
+            if key != COMPLETE_KEY:
+                entry = stores.Entry(key=key, value=value, version=number)
+                entries.append(entry)
+            elif number == version:
+                complete, count = map(int, value.split())
     except (AttributeError, TypeError) as error:
         raise ValueError(f"not a body of documents: {error}") from error
-    return entries, complete
+    return entries, complete if count == len(entries) else None
