--- a/features/steps/tool_steps.py
+++ b/features/steps/tool_steps.py
@@ -22,6 +22,7 @@
 #: How long a daemon looks for what became of a change, in seconds.
 PROPOSAL_TIMEOUT = 3.0
 RULES_KEY = "rules/current"
+CALLS_PER_ENTRY = 3
 
 
 def run_tool(context, *arguments, entry=0, address=""):
@@ -327,3 +328,65 @@
 def ask_after_change(context):
     line = next(it for it in context.output.splitlines() if "change " in it)
     run_tool(context, "change", line.rpartition("change ")[2])
+
+
+def _call_some(context):
+    """Return the zones in which some new calls ran, and their results."""
+    fleet = context.fleet
+    before = {it.name: len(it.get("/executions")) for it in fleet.services}
+
+    async def run():
+        async with aiohttp.ClientSession() as session:
+            return [
+                await callers.call_service(
+                    session,
+                    entry.address,
+                    "heat-lookup",
+                    request_id=uuid.uuid4().hex,
+                    body={"heat": number},
+                )
+                for number in range(CALLS_PER_ENTRY)
+                for entry in fleet.entries
+            ]
+
+    results = asyncio.run(run())
+    zones = {
+        it.zone
+        for it in fleet.services
+        if len(it.get("/executions")) > before[it.name]
+    }
+    return zones, results
+
+
+@behave.then("no call of a plain service reaches zone-a")
+def check_zone_unused(context):
+    zones, results = _call_some(context)
+    assert {it.status for it in results} == {200}, results
+    assert zones and "zone-a" not in zones, zones
+
+
+@behave.then("calls of a plain service reach zone-a alone")
+def check_zone_used(context):
+    zones, results = _call_some(context)
+    assert {it.status for it in results} == {200}, results
+    assert zones == {"zone-a"}, zones
+
+
+@behave.when("the operator evacuates the other zones")
+def evacuate_others(context):
+    for zone in ("zone-b", "zone-c"):
+        run_tool(context, "evacuate", zone, "--wait")
+        assert context.code == 0, context.output
+
+
+@behave.then(
+    "a call of a plain service is refused at once and explained by the rule"
+)
+def check_refused_call(context):
+    zones, results = _call_some(context)
+    assert not zones, zones
+    for result in results:
+        assert result.status == 503 and result.reason == "zone_evacuated"
+        assert float(result.retry_after) > 0 and result.seconds < 0.5, result
+    run_tool(context, "explain", "request", results[0].request_id)
+    assert "by the rule evacuate zone=zone-a" in context.output
--- a/features/tool/buckthornctl.feature
+++ b/features/tool/buckthornctl.feature
@@ -149,3 +149,21 @@
     Then each refusal is explained through the first host
       | caller   | reason        | step      | rule                         | when         |
       | draining | host_draining | admission | by the rule drain host=entry | ask again in |
+
+  Scenario: A zone is evacuated and its evacuation ended
+    When the operator runs "evacuate zone-a --wait"
+    Then the tool exits with 0 and prints "in force on 3 of 3 hosts"
+    And no call of a plain service reaches zone-a
+    When the operator runs "status"
+    Then the tool exits with 0 and prints "evacuated zones: zone-a"
+    When the operator runs "explain rule evacuate"
+    Then the tool exits with 0 and prints "evacuate zone=zone-a"
+    When the operator evacuates the other zones
+    Then a call of a plain service is refused at once and explained by the rule
+    When the operator runs "evacuate zone-a --end --wait"
+    Then the tool exits with 0 and prints "- evacuate zone=zone-a"
+    And calls of a plain service reach zone-a alone
+    When the operator runs "evacuate zone-a --end"
+    Then the tool exits with 2 and prints "no rule evacuates"
+    When the operator runs "evacuate zone-x"
+    Then the tool exits with 2 and prints "no host in zone"
--- a/testbed/relay_fleets.py
+++ b/testbed/relay_fleets.py
@@ -205,6 +205,7 @@
         state: str = "ready",
         version: str = "v1",
         born: int = 0,
+        zone: str = "a",
     ) -> None:
         """Write an upstream's entry to the store."""
         events = self.workers[name].events
@@ -213,7 +214,7 @@
             {
                 "service": MODEL_SERVICE if events else PLAIN_SERVICE,
                 "address": self._addresses[name],
-                "zone": "a",
+                "zone": zone,
                 "version": version,
                 "slots": 8,
                 "state": state,
