--- a/buckthornhold/relay_watchers.py
+++ b/buckthornhold/relay_watchers.py
@@ -51,7 +51,8 @@
         self._orders = operator_documents.OperatorDocuments(
             excluded=platform.configuration_key
         )
-        bound = host.settings.bounds.config_seconds
+        bounds = host.settings.bounds
+        bound = min(bounds.config_seconds, bounds.evacuation_seconds)
         self._read_policy = store_readers.StoreReadPolicy(
             max_age_seconds=store_readers.MAX_AGE_SHARE * bound,
             is_small=lambda: host.summaries.full_mesh,
@@ -89,6 +90,13 @@
         """Return whether this host watches the store all the time."""
         return self._read_policy.is_watcher()
 
+    def forget_revisions(self) -> None:
+        """Forget the revisions of the operator's documents, but keep these.
+
+        For a store that was restored from a copy.
+        """
+        self._orders.forget_revisions()
+
     async def refresh(self) -> None:
         """Read the prefixes again, after a pause of the process."""
         platform = self._platform
@@ -187,8 +195,10 @@
             )
             return False
         self._adopt_orders(update)
-        if self._orders.version > document.version:
-            # The sender still lists documents that were removed.
+        is_behind = self._orders.version > document.version
+        if is_behind or (update and self.is_watcher()):
+            # Either the sender still lists documents that were removed, or
+            # this watcher won't push the change when the store tells of it.
             self._publish(ORDERS_TOPIC)
         return True
 
