--- a/buckthornhold/cold_upstreams.py
+++ b/buckthornhold/cold_upstreams.py
@@ -91,17 +91,18 @@
             rate = self._find_rate(upstream.record.service)
             self._decision.record_request(upstream.key, rate)
 
-    def find_wait(self, service: str) -> float:
+    def find_wait(self, service: str, regions=()) -> float:
         """Return the seconds until the first upstream of a service is warm.
 
         0 if none is cold, or if a request could be sent to one now.
+        ``regions`` is a ``placements.Regions``.
         """
         if self._decision is None or not self._find_rate(service):
             return 0.0
         staying = [
             upstream.key
-            for upstream in self._host.upstreams.list_all()
-            if upstream.record.service == service and not upstream.leaving
+            for upstream in self._host.upstreams.list_allowed(service, regions)
+            if not upstream.leaving
         ]
         return self._decision.find_wait(staying, self._find_rate(service))
 
--- a/buckthornhold/reasons.py
+++ b/buckthornhold/reasons.py
@@ -44,6 +44,7 @@
     ORDER_REFUSED = "order_refused"
     OUTCOME_UNKNOWN = "outcome_unknown"
     POISON_REQUEST = "poison_request"
+    REGION_NOT_ALLOWED = "region_not_allowed"
     RETRY_BUDGET = "retry_budget"
     RULE_CONFLICT = "rule_conflict"
     RULE_INVALID = "rule_invalid"
@@ -70,6 +71,7 @@
     UPSTREAM_UNREACHABLE = "upstream_unreachable"
     UPSTREAMS_COLD = "upstreams_cold"
     VERSION_WITHDRAWN = "version_withdrawn"
+    ZONE_EVACUATED = "zone_evacuated"
     PEER_REFUSED = "peer_refused"
     PEER_UNREACHABLE = "peer_unreachable"
 
