Give the fakes of cold upstreams the fields of placements

Cause: a selector reads allowed regions now, which the fakes lacked. Change: fakes have them; no check changed.

--- a/features/steps/cold_upstreams_steps.py
+++ b/features/steps/cold_upstreams_steps.py
@@ -19,6 +19,7 @@
 from buckthornhold.coordination import members
 from buckthornhold.scheduling import cold_capacities
 from buckthornhold.scheduling import cold_starts
+from buckthornhold.scheduling import placements
 from testbed import cold_fleets
 
 STARTS_AT = 10.0
@@ -199,7 +200,9 @@
                 zone="a"
             ),
             configurations=types.SimpleNamespace(),
+            placements=placements.Placements(),
         )
+        host.placements.set_evacuated(())
         self.host = host
         self.apply_rate(self.rate)
         host.upstreams = relay_upstreams.RelayUpstreams(host=host)
@@ -216,7 +219,8 @@
         request = types.SimpleNamespace(
             service="s",
             workload=relay_routers.Workload(),
-            route=types.SimpleNamespace(streamed=True),
+            route=types.SimpleNamespace(streamed=True, regions=()),
+            workspace=None,
         )
         selector = relay_selectors.UpstreamSelector(
             host=self.host, request=request
