--- a/features/placements/decisions.feature
+++ b/features/placements/decisions.feature
@@ -47,4 +47,5 @@
 
   Scenario: A record is held only in the zones of its request's rule
     Given holders: a host with a neighbour, and 4 hosts of other zones
-    Then placements: a record limited to zone-c is offered there alone
+    Then placements: records of a rule with zone-c are offered to zone-c alone, while it serves
+    And placements: records of a rule with zone-c are offered to zone-c alone, also when it is withdrawn
--- a/features/placements/evacuations.feature
+++ b/features/placements/evacuations.feature
@@ -33,3 +33,11 @@
     Then evacuations: after 1 seconds a request is refused at once as zone_evacuated
     When evacuations: the workspace is limited to a region without upstreams
     Then evacuations: after 1 seconds a request is refused at once as region_not_allowed
+
+  Scenario: An evacuation and its end arrive though the store refuses the watchers
+    Given evacuations: 5 hosts of a large fleet with upstreams in the zones b and c
+    When readers: the store refuses both watchers
+    And evacuations: zone b is evacuated
+    Then evacuations: after 5 seconds no host sends to zone b
+    When evacuations: zone b is taken back
+    Then evacuations: after 5 seconds all hosts send to zone b
--- a/features/steps/placements_steps.py
+++ b/features/steps/placements_steps.py
@@ -8,11 +8,13 @@
 import behave
 
 from buckthornhold import fleet_orders
+from buckthornhold import grammars
 from buckthornhold import logs
 from buckthornhold import operator_documents
 from buckthornhold import routes
 from buckthornhold import stores
 from buckthornhold import upstream_directories
+from buckthornhold import versions
 from buckthornhold.scheduling import placements
 
 STEPS_OF_A_RUN = 120
@@ -269,9 +271,21 @@
     assert not context.bench.orders, context.bench.orders
 
 
-@behave.then("placements: a record limited to {zone} is offered there alone")
-def check_holder(context, zone):
+@behave.then(
+    "placements: records of a rule with zone-c are offered to {zone} alone, "
+    "{when}"
+)
+def check_holders(context, zone, when):
+    text = "serve model=m version=v zones=zone-c  # asked by: x"
+    host = mock.MagicMock()
+    host.moves.find_plan.return_value = None
+    host.moves.find_withdrawal.return_value = (
+        "withdrawn" if when == "also when it is withdrawn" else None
+    )
+    found = versions.Versions(host=host)
+    found.adopt(grammars.parse_rules(text))
+    contract = mock.MagicMock(route="m", workspace="w")
     candidates = context.handovers._list_hold_candidates(
-        "request", False, lambda name: name == zone
+        "request", False, found.make_zone_check(contract)
     )
     assert {link.zone for link in candidates} == {zone}, candidates
