Tell the fake of ordered upstreams that none is cold

Cause: fleet orders ask for cold upstreams since both parts are merged. Change: the fake answers; no check changed. Result: features/placements/decisions.feature passed.

--- a/features/steps/placements_steps.py
+++ b/features/steps/placements_steps.py
@@ -214,6 +214,7 @@
         host.directory.list_records = lambda: self.records
         host.moves.is_moving.return_value = False
         host.moves.removes.return_value = False
+        host.upstreams.cold.list_remaining.return_value = {}
         self.orderer = fleet_orders.FleetOrderer(host=host, calls=self)
 
     def start(self, zone, count):
