Detect a restored store, fence leases by its era

A store that is restored from a copy issues revisions and lease ids again. Holders renewed ids that belonged to others, and fencing tokens of the lost seconds were issued twice.

The store's clients put the era into the upper bits of versions and report it to coordination.store_eras, which tells each part once. Tokens exceed those of earlier eras; token, lease, role key and second reading must be of one era; a lease of an earlier era is dropped at once. The stand-ins can go back to a copy. Without the header versions are the store's revisions.

--- a/buckthornhold/coordination/leases.py
+++ b/buckthornhold/coordination/leases.py
@@ -4,17 +4,20 @@
 A second, permanent key counts fencing tokens. A process increments the
 counter, creates the role's key, and becomes the holder only if the counter
 still has its own value. So each holder has a higher token than all earlier
-ones.
+ones. Tokens of a restored store are higher than all of its earlier eras, and
+a lease is valid only in the era in which it was acquired.
 """
 
 from collections.abc import Callable
 import dataclasses
 import json
+import math
 
 from buckthornhold import reasons
 from buckthornhold import stores
 from buckthornhold import tasks
 from buckthornhold.coordination import pause_detectors
+from buckthornhold.coordination import store_eras
 
 #: Share of the lease's TTL after which it is renewed.
 RENEW_AFTER_SHARE = 1 / 3
@@ -27,7 +30,7 @@
     """A held role; times are on the holder's clock.
 
     ``expires_at`` is when the holder must stop acting, which is before the
-    store's lease expires.
+    store's lease expires. ``era`` is the store's era that has the lease.
     """
 
     role: str
@@ -35,6 +38,7 @@
     lease_id: str
     acquired_at: float
     expires_at: float
+    era: int = 0
 
 
 class LeaderElector(tasks.PeriodicService):
@@ -77,6 +81,14 @@
         self._lease: Lease | None = None
         self._renewed_at = 0.0
         self._highest_fence = 0
+        self._eras = store.eras
+        #: No attempt to acquire the role is made before this time.
+        self._acquire_after = -math.inf
+        #: The own role entry of an earlier era, which the copy may contain.
+        self._former_value = ""
+        self._eras.add_part(
+            store_eras.Order.LEASES, f"lease {role}", self._begin_era
+        )
 
     @property
     def role(self) -> str:
@@ -89,7 +101,7 @@
         lease = self._lease
         if lease is None or self._clock() >= lease.expires_at:
             return None
-        return lease
+        return lease if lease.era == self._eras.current else None
 
     async def find_holder(self) -> str | reasons.Failure:
         """Return the holder according to the store; empty if none."""
@@ -122,7 +134,7 @@
     async def run_once(self) -> None:
         """Renew the lease if it is due, or try to acquire the role."""
         if self._lease is None:
-            if self._is_candidate():
+            if self._clock() >= self._acquire_after and self._is_candidate():
                 await self._acquire()
             return
         if self._clock() - self._renewed_at >= self._ttl * RENEW_AFTER_SHARE:
@@ -153,14 +165,15 @@
 
     async def _acquire(self) -> None:
         entry = await self._store.get(self._role_key)
-        if entry is not None:
+        if entry is not None and not await self._delete_former(entry):
             return
-        fence = await self._allocate_fence()
+        era = self._eras.current
+        fence = await self._allocate_fence(era)
         if fence is None:
             return
         sent_at = self._clock()
         granted = await self._store.grant_lease(self._ttl)
-        if isinstance(granted, reasons.Failure):
+        if isinstance(granted, reasons.Failure) or granted.era != era:
             return
         lease = Lease(
             role=self._role,
@@ -168,14 +181,20 @@
             lease_id=granted.lease_id,
             acquired_at=self._clock(),
             expires_at=sent_at + self._ttl - self._margin,
+            era=era,
         )
         entry = await self._create_role_entry(lease)
         if entry is None:
             return
-        if (
-            await self._read_fence() != fence
-            or self._clock() >= lease.expires_at
-        ):
+        stored = await self._read_fence()
+        if era != self._eras.current:
+            # The key expires with its lease if the copy contains it.
+            self._counters.count_event("leases.eras_mixed")
+            self._logger.bind(step="lease", peer=self._role).info(
+                f"did not take the role: the store left era {era} meanwhile"
+            )
+            return
+        if stored != fence or self._clock() >= lease.expires_at:
             await self._store.delete(entry.key, expect=entry.version)
             return
         self._lease = dataclasses.replace(lease, acquired_at=self._clock())
@@ -186,19 +205,32 @@
         )
         self._notify(True)
 
-    async def _allocate_fence(self) -> int | None:
+    async def _delete_former(self, entry) -> bool:
+        """Delete this process's own role entry of an earlier era."""
+        if not isinstance(entry, stores.Entry):
+            return False
+        if entry.value != self._former_value:
+            return False
+        result = await self._store.delete(entry.key, expect=entry.version)
+        return result is None
+
+    async def _allocate_fence(self, era: int) -> int | None:
+        """Return a token that is higher than those of earlier eras."""
         entry = await self._store.get(self._fence_key)
         if isinstance(entry, reasons.Failure):
             return None
         stored = int(entry.value) if entry else 0
-        fence = max(stored, self._highest_fence) + 1
+        lowest = era * store_eras.FENCES_PER_ERA
+        fence = max(stored, self._highest_fence, lowest) + 1
         self._highest_fence = fence
         result = await self._store.put(
             self._fence_key,
             str(fence),
             expect=entry.version if entry else stores.MUST_NOT_EXIST,
         )
-        return None if isinstance(result, reasons.Failure) else fence
+        if isinstance(result, reasons.Failure) or era != self._eras.current:
+            return None
+        return fence
 
     async def _read_fence(self) -> int | None:
         entry = await self._store.get(self._fence_key)
@@ -208,13 +240,7 @@
 
     async def _create_role_entry(self, lease: Lease) -> stores.Entry | None:
         """Create the role's key; after a lost reply read it to find out."""
-        value = json.dumps(
-            {
-                "holder": self._holder,
-                "fence": lease.fence,
-                "lease_id": lease.lease_id,
-            }
-        )
+        value = self._dump(lease)
         created = await self._store.put(
             self._role_key,
             value,
@@ -222,30 +248,61 @@
             lease_id=lease.lease_id,
         )
         if isinstance(created, stores.Entry):
-            return created
+            return created if self._is_of_era(created, lease) else None
         entry = await self._store.get(self._role_key)
         if isinstance(entry, stores.Entry) and self._is_own_entry(
             entry, lease
         ):
-            return entry
+            return entry if self._is_of_era(entry, lease) else None
         return None
 
+    def _is_of_era(self, entry: stores.Entry, lease: Lease) -> bool:
+        return store_eras.find_era(entry.version) == lease.era
+
+    def _dump(self, lease: Lease) -> str:
+        return json.dumps(
+            {
+                "holder": self._holder,
+                "fence": lease.fence,
+                "lease_id": lease.lease_id,
+            }
+        )
+
     def _is_own_entry(self, entry: stores.Entry, lease: Lease) -> bool:
-        return json.loads(entry.value)["lease_id"] == lease.lease_id
+        # Lease ids are issued again in a new era, tokens are not.
+        return entry.value == self._dump(lease)
 
     async def _renew(self) -> None:
         sent_at = self._clock()
-        result = await self._store.keep_lease(self._lease.lease_id)
+        lease = self._lease
+        result = await self._store.keep_lease(lease.lease_id)
+        if self._lease is not lease:
+            return
         if result is None:
             self._renewed_at = sent_at
             self._lease = dataclasses.replace(
-                self._lease, expires_at=sent_at + self._ttl - self._margin
+                lease, expires_at=sent_at + self._ttl - self._margin
             )
             return
         self._counters.count_event("leases.renewals_failed")
         if result.reason is reasons.Reason.STORE_CONFLICT:
             self._drop_lease("lease expired in the store")
 
+    def _begin_era(self, change: store_eras.EraChange) -> None:
+        """Drop a lease of an earlier era.
+
+        A holder that hasn't seen the new era yet acts until its lease expires
+        locally, so that other processes wait for a TTL before they acquire
+        the role.
+        """
+        if self._lease is None:
+            self._acquire_after = self._clock() + self._ttl
+            return
+        self._former_value = self._dump(self._lease)
+        self._counters.count_event("leases.era_ended")
+        self._drop_lease(f"the store is in era {change.now}")
+        self.wake()
+
     def _drop_lease(self, reason: str) -> None:
         self._lease = None
         self._logger.bind(step="lease", peer=self._role).warning(
--- a/buckthornhold/daemons.py
+++ b/buckthornhold/daemons.py
@@ -57,6 +57,7 @@
 from buckthornhold.coordination import pause_detectors
 from buckthornhold.coordination import revisions
 from buckthornhold.coordination import roles
+from buckthornhold.coordination import store_eras
 
 BACKGROUND_TIMEOUT = 1.0
 HAND_OVER_SECONDS = 2.0
@@ -78,6 +79,7 @@
         self.counters = counters.Counters(
             address=config.statsd_address, prefix=config.statsd_prefix
         )
+        self.eras = store_eras.make_eras(self)
         self.admissions = admissions.AdmissionController(
             max_in_flight=config.max_in_flight,
             retry_after=config.retry_after,
@@ -314,6 +316,7 @@
             session=session,
             address=address,
             timeout=self._settings.platform_timeout,
+            eras=self.eras,
         )
 
     def make_cloud(
--- a/buckthornhold/duties.py
+++ b/buckthornhold/duties.py
@@ -3,6 +3,7 @@
 from buckthornhold import reasons
 from buckthornhold import tasks
 from buckthornhold.coordination import leases
+from buckthornhold.coordination import store_eras
 
 #: Hosts that ask for the role at a time; the others ask if these are gone.
 CANDIDATES = 2
@@ -31,6 +32,9 @@
             counters=host.counters,
             is_candidate=self._is_candidate,
         )
+        host.store.eras.add_part(
+            store_eras.Order.LEASES, "duty", lambda change: self.wake()
+        )
 
     @property
     def held(self) -> bool:
--- a/buckthornhold/platform/adapters.py
+++ b/buckthornhold/platform/adapters.py
@@ -17,12 +17,13 @@
     configuration_prefix = configurations.PREFIX
     directory_prefix = upstream_entries.PREFIX
 
-    def make_store(self, session, config):
+    def make_store(self, session, config, eras=None):
         """Return the client of the platform's store."""
         return stores.PlatformStore(
             session=session,
             address=config.platform,
             timeout=config.platform_timeout,
+            eras=eras,
         )
 
     def decode_configuration(self, text):
--- a/buckthornhold/platform/http_headers.py
+++ b/buckthornhold/platform/http_headers.py
@@ -22,6 +22,8 @@
 REQUEST_PRIORITY = "Request-Priority"
 DUTY_HOLDER = "Duty-Holder"
 FENCE_TOKEN = "Fence-Token"
+#: How often the store was restored from a copy; in all of its responses.
+STORE_ERA = "Store-Era"
 
 #: Headers that apply to a single connection (RFC 9110, 7.6.1).
 HOP_BY_HOP_HEADERS = frozenset(
--- a/buckthornhold/platform/stores.py
+++ b/buckthornhold/platform/stores.py
@@ -10,6 +10,8 @@
 from buckthornhold import clients
 from buckthornhold import reasons
 from buckthornhold import stores
+from buckthornhold.coordination import store_eras
+from buckthornhold.platform import http_headers
 
 #: More pages than any prefix has; guards against a store that never ends.
 MAX_PAGES = 100
@@ -28,11 +30,22 @@
     """Client of the platform's store; ``timeout`` is in seconds."""
 
     def __init__(
-        self, *, session: aiohttp.ClientSession, address: str, timeout: float
+        self,
+        *,
+        session: aiohttp.ClientSession,
+        address: str,
+        timeout: float,
+        eras: store_eras.StoreEras | None = None,
     ) -> None:
         self._session = session
         self._address = address
         self._timeout = timeout
+        self._eras = eras or store_eras.StoreEras()
+
+    @property
+    def eras(self) -> store_eras.StoreEras:
+        """The eras that this client has seen."""
+        return self._eras
 
     async def get(self, key: str) -> stores.Entry | None | reasons.Failure:
         """Return the entry of a key, or None when there is none."""
@@ -58,7 +71,13 @@
             if isinstance(body, reasons.Failure):
                 return body
             if revision is None:
-                revision = body["asOf"]
+                revision = self._make_version(body["asOf"])
+            elif store_eras.find_era(revision) != self._eras.current:
+                return self._fail(
+                    reasons.Reason.STORE_HISTORY_GONE,
+                    "kv-range",
+                    "the store was restored between two pages",
+                )
             for item in body["items"]:
                 entry = self._read_item(item)
                 entries[entry.key] = entry
@@ -84,7 +103,8 @@
         body = await self._write(key, expect, writes=[write], remove=[])
         if isinstance(body, reasons.Failure):
             return body
-        return stores.Entry(key=key, value=value, version=body["revision"])
+        version = self._make_version(body["revision"])
+        return stores.Entry(key=key, value=value, version=version)
 
     async def delete(
         self, key: str, *, expect: int | None
@@ -97,24 +117,28 @@
         self, prefix: str, *, after: int, timeout: float
     ) -> stores.Change | reasons.Failure:
         """Wait up to ``timeout`` seconds for a write below a prefix."""
+        if store_eras.find_era(after) != self._eras.current:
+            return self._fail_watch()
         body = await self._call(
             "GET",
             "kv-watch",
             params={
                 "pathPrefix": prefix,
-                "after": str(after),
+                "after": str(store_eras.find_revision(after)),
                 "waitMs": str(int(timeout * 1000)),
             },
             timeout=timeout + min(WATCH_MARGIN_SECONDS, self._timeout),
         )
         if isinstance(body, reasons.Failure):
             return body
+        if store_eras.find_era(after) != self._eras.current:
+            return self._fail_watch()
         latest: dict[str, stores.Entry | None] = {}
         for event in body["events"]:
             removed = event.get("tombstone")
             latest[event["key"]] = None if removed else self._read_item(event)
         return stores.Change(
-            revision=body["asOf"],
+            revision=self._make_version(body["asOf"]),
             entries=tuple(
                 entry for entry in latest.values() if entry is not None
             ),
@@ -133,7 +157,9 @@
         if isinstance(body, reasons.Failure):
             return body
         return stores.StoreLease(
-            lease_id=str(body["lease"]), ttl=body["ttlMs"] / 1000
+            lease_id=str(body["lease"]),
+            ttl=body["ttlMs"] / 1000,
+            era=self._eras.current,
         )
 
     async def keep_lease(self, lease_id: str) -> None | reasons.Failure:
@@ -142,14 +168,34 @@
         return body if isinstance(body, reasons.Failure) else None
 
     async def _write(self, key, expect, *, writes, remove):
+        failure = stores.check_expected(
+            self._eras, expect, "kv-txn", self._address
+        )
+        if failure is not None:
+            return failure
         rows = []
         if expect is not None:
-            rows.append({"key": key, "revision": expect})
-        return await self._call(
+            revision = store_eras.find_revision(expect)
+            rows.append({"key": key, "revision": revision})
+        body = await self._call(
             "POST",
             "kv-txn",
             json={"precondition": rows, "writes": writes, "remove": remove},
         )
+        failure = stores.check_written(
+            self._eras, expect, body, "kv-txn", self._address
+        )
+        return body if failure is None else failure
+
+    def _make_version(self, revision: int) -> int:
+        return store_eras.make_version(self._eras.current, revision)
+
+    def _fail_watch(self) -> reasons.Failure:
+        return self._fail(
+            reasons.Reason.STORE_HISTORY_GONE,
+            "kv-watch",
+            "the store was restored from a copy",
+        )
 
     def _read_item(self, item: dict) -> stores.Entry:
         """Return an item's entry; undecodable bytes are replaced.
@@ -166,7 +212,7 @@
         return stores.Entry(
             key=item["key"],
             value=value.decode(errors="replace"),
-            version=item["revision"],
+            version=self._make_version(item["revision"]),
         )
 
     async def _call(self, method: str, name: str, *, timeout=None, **kwargs):
@@ -193,6 +239,19 @@
                 repr(error),
                 ran=reasons.Ran.UNKNOWN,
             )
+        era = store_eras.parse_era(
+            response.headers.get(http_headers.STORE_ERA)
+        )
+        # Errors may come from something in front of the store, without era.
+        if (era is not None or response.status == 200) and (
+            not self._eras.observe(era)
+        ):
+            return self._fail(
+                reasons.Reason.STORE_UNAVAILABLE,
+                name,
+                f"response of era {era or 0}, which has ended",
+                ran=reasons.Ran.UNKNOWN,
+            )
         if response.status != 200:
             reason = STATUS_REASONS.get(
                 response.status, reasons.Reason.STORE_UNAVAILABLE
--- a/buckthornhold/relay_hosts.py
+++ b/buckthornhold/relay_hosts.py
@@ -55,6 +55,7 @@
 from buckthornhold.coordination import members
 from buckthornhold.coordination import pause_detectors
 from buckthornhold.coordination import poison_detectors
+from buckthornhold.coordination import store_eras
 from buckthornhold.peers import summaries_pb2
 
 #: How long a draining host still accepts connections: until the load
@@ -87,6 +88,7 @@
             address=config.statsd_address, prefix=config.statsd_prefix
         )
         self.metrics = metrics.Metrics(counts=self.counters)
+        self.eras = store_eras.make_eras(self)
         self.admissions = admissions.AdmissionController(
             max_in_flight=config.max_in_flight, retry_after=config.retry_after
         )
@@ -213,7 +215,7 @@
         upstream_session = self._add_session(
             self._platform.make_upstream_session()
         )
-        self.store = self._platform.make_store(session, config)
+        self.store = self._platform.make_store(session, config, self.eras)
         self.upstream_client = self._platform.make_upstream_client(
             upstream_session, self.memory
         )
--- a/buckthornhold/relay_platforms.py
+++ b/buckthornhold/relay_platforms.py
@@ -26,9 +26,12 @@
 
     @abc.abstractmethod
     def make_store(
-        self, session: aiohttp.ClientSession, config
+        self, session: aiohttp.ClientSession, config, eras=None
     ) -> stores.Store:
-        """Return the client of the platform's store."""
+        """Return the client of the platform's store.
+
+        The client reports to ``eras`` (a ``store_eras.StoreEras``).
+        """
 
     @abc.abstractmethod
     def decode_configuration(self, text: str) -> routes.Configuration:
--- a/buckthornhold/standins/platforms.py
+++ b/buckthornhold/standins/platforms.py
@@ -9,7 +9,9 @@
 
 from buckthornhold.standins import clouds
 from buckthornhold.standins import servers
+from buckthornhold.standins import store_copies
 
+ERA = "Store-Era"
 VALUE_LIMIT_BYTES = 1_000_000
 
 
@@ -50,6 +52,10 @@
     def __init__(self, *, address: str, options: dict | None = None) -> None:
         super().__init__(address=address)
         options = options or {}
+        #: None until the store names its era in its responses.
+        self._era: int | None = options.get("era")
+        self.copies = store_copies.StoreCopies(dump=self._dump_state)
+        self._first_revision = 0
         self._revision = 0
         self._entries: dict[str, dict] = {}
         self._deleted: list[tuple[int, str]] = []
@@ -94,9 +100,45 @@
         router.add_get("/history", self._show_history)
         router.add_get("/dump", self._dump)
         router.add_post("/restore", self._restore)
+        router.add_post("/restore-older", self._restore_older)
+
+    def restore_state(self, state: dict) -> None:
+        """Go back to a copy; revisions and leases are issued again."""
+        self._revision = state["revision"]
+        self._first_revision = self._revision
+        self._entries = state["entries"]
+        now = time.monotonic()
+        self._leases = {
+            lease_id: (now + ttl, ttl)
+            for lease_id, ttl in state["leases"].items()
+        }
+        self._deleted.clear()
+        self._era = (self._era or 0) + 1
+        self.copies.clear()
+        self._wake_watches()
+
+    def _dump_state(self) -> dict:
+        return {
+            "revision": self._revision,
+            "entries": self._entries,
+            "leases": {
+                lease_id: ttl for lease_id, (_, ttl) in self._leases.items()
+            },
+        }
+
+    def make_headers(self) -> dict[str, str]:
+        """Return the era, once the store names it."""
+        return {} if self._era is None else {ERA: str(self._era)}
+
+    async def _restore_older(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        self.restore_state(self.copies.find(body["seconds"]))
+        return web.json_response({"revision": self._revision})
 
     async def _enter(self, request: web.Request, kind: str) -> None:
         self._meter[kind] += 1
+        if kind == "writes":
+            self.copies.record()
         self._check_rate(kind)
         if self.faults.slow:
             await asyncio.sleep(self.faults.slow)
@@ -238,6 +280,10 @@
         give_up_at = time.monotonic() + float(request.query["timeout"])
         while True:
             self._check_down()
+            if self._era is not None and not (
+                self._first_revision <= after <= self._revision
+            ):
+                return web.json_response({"detail": "gone"}, status=410)
             change = self._show_change(prefix, after=after)
             left = give_up_at - time.monotonic()
             if change["entries"] or change["deleted"] or left <= 0:
--- a/buckthornhold/standins/servers.py
+++ b/buckthornhold/standins/servers.py
@@ -44,6 +44,7 @@
         app.router.add_get("/faults", self._show_faults)
         app.router.add_post("/faults", self._change_faults)
         self.add_routes(app.router)
+        app.on_response_prepare.append(self._prepare)
         self._runner = web.AppRunner(
             app, access_log=None, handler_cancellation=True
         )
@@ -59,6 +60,13 @@
         if self._runner is not None:
             await self._runner.cleanup()
 
+    def make_headers(self) -> dict[str, str]:
+        """Return headers that all responses have."""
+        return {}
+
+    async def _prepare(self, request: web.Request, response) -> None:
+        response.headers.update(self.make_headers())
+
     async def _show_faults(self, request: web.Request) -> web.Response:
         return web.json_response(self.faults.model_dump())
 
--- a/buckthornhold/standins/users_platforms.py
+++ b/buckthornhold/standins/users_platforms.py
@@ -13,8 +13,10 @@
 from aiohttp import web
 
 from buckthornhold.standins import raw_answers
+from buckthornhold.standins import store_copies
 
 SEAL = "Server-Seal"
+ERA = "Store-Era"
 WATCH_TICK = 0.01
 #: Pause between the events of a slow stream.
 SLOW_EVENT_SECONDS = 0.15
@@ -26,10 +28,13 @@
     ``down`` refuses all calls with 503, ``lost_answers`` is how many of the
     next writes are done and not answered, ``delay_seconds`` is waited before
     each call. ``calls`` counts all calls and ``watches`` those that wait for
-    changes.
+    changes. ``era`` is None until the store names its era in its responses;
+    ``restore`` goes back to a copy and raises it.
     """
 
     def __init__(self) -> None:
+        self.era: int | None = None
+        self.copies = store_copies.StoreCopies(dump=self._dump)
         self.items: dict[str, dict] = {}
         self.events: list[dict] = []
         self.revision = 1
@@ -49,8 +54,10 @@
 
     def remove(self, key: str) -> None:
         """Remove a key."""
-        if self.items.pop(key, None) is None:
+        if key not in self.items:
             return
+        self.copies.record()
+        del self.items[key]
         self.revision += 1
         self.events.append(
             {"key": key, "revision": self.revision, "tombstone": True}
@@ -61,7 +68,34 @@
         self.events.clear()
         self.first_revision = self.revision
 
+    def restore_older(self, age: float) -> None:
+        """Go back to a copy that is some seconds old."""
+        self.restore(self.copies.find(age))
+
+    def restore(self, state: dict) -> None:
+        """Go back to a copy; revisions and leases are issued again."""
+        self.items = dict(state["items"])
+        self.revision = state["revision"]
+        self._next_lease = state["next_lease"]
+        now = time.monotonic()
+        self._leases = {
+            lease: (now + ttl, ttl) for lease, ttl in state["leases"].items()
+        }
+        self.events.clear()
+        self.first_revision = self.revision
+        self.era = (self.era or 0) + 1
+        self.copies.clear()
+
+    def _dump(self) -> dict:
+        return {
+            "items": self.items,
+            "revision": self.revision,
+            "next_lease": self._next_lease,
+            "leases": {lease: ttl for lease, (_, ttl) in self._leases.items()},
+        }
+
     def _put(self, key: str, value: str, lease: int) -> None:
+        self.copies.record()
         self.revision += 1
         known = self.items.get(key)
         item = {
@@ -85,6 +119,12 @@
 
     async def answer(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one call."""
+        response = await self._answer(request)
+        if self.era is not None:
+            response.headers[ERA] = str(self.era)
+        return response
+
+    async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         self.calls += 1
         if self.delay_seconds:
             await asyncio.sleep(self.delay_seconds)
@@ -132,7 +172,7 @@
         while True:
             if self.down:
                 return web.Response(status=503)
-            if after < self.first_revision:
+            if not self.first_revision <= after <= self.revision:
                 return web.Response(status=410)
             found = [
                 it
--- a/buckthornhold/stores.py
+++ b/buckthornhold/stores.py
@@ -8,14 +8,20 @@
 
 from buckthornhold import clients
 from buckthornhold import reasons
+from buckthornhold.coordination import store_eras
 
+#: Response header with the number of times that the store was restored.
+ERA_HEADER = "Store-Era"
 MUST_NOT_EXIST = 0
 VALUE_LIMIT_BYTES = 1_000_000
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Entry:
-    """A key's value with the store revision that last wrote it."""
+    """A key's value with the store revision that last wrote it.
+
+    ``version`` contains the store's era (``store_eras.make_version``).
+    """
 
     key: str
     value: str
@@ -40,6 +46,7 @@
 
     lease_id: str
     ttl: float
+    era: int = 0
 
 
 class Store(abc.ABC):
@@ -47,9 +54,15 @@
 
     Every method returns a ``reasons.Failure`` instead of its result when it
     fails. For writes, ``failure.ran`` is ``NO`` only if the write surely did
-    not take effect.
+    not take effect. Versions of an earlier era than the store's match no
+    entry; a watch after such a version fails with ``STORE_HISTORY_GONE``.
     """
 
+    @property
+    def eras(self) -> store_eras.StoreEras:
+        """The eras that this client has seen."""
+        return store_eras.StoreEras()
+
     @abc.abstractmethod
     async def get(self, key: str) -> Entry | None | reasons.Failure:
         """Return the entry of a key, or None when there is none."""
@@ -105,10 +118,17 @@
         session: aiohttp.ClientSession,
         address: str,
         timeout: float,
+        eras: store_eras.StoreEras | None = None,
     ) -> None:
         self._session = session
         self._address = address
         self._timeout = timeout
+        self._eras = eras or store_eras.StoreEras()
+
+    @property
+    def eras(self) -> store_eras.StoreEras:
+        """The eras that this client has seen."""
+        return self._eras
 
     @property
     def address(self) -> str:
@@ -122,14 +142,14 @@
             return body
         if not body["version"]:
             return None
-        return Entry(**body)
+        return self._read_entry(body)
 
     async def list_entries(self, prefix: str) -> Change | reasons.Failure:
         """Return all entries below a prefix with the store's revision."""
         body = await self._call("GET", "/kv", params={"prefix": prefix})
         if isinstance(body, reasons.Failure):
             return body
-        return _read_change(body)
+        return self._read_change(body)
 
     async def put(
         self,
@@ -142,47 +162,64 @@
         """Write a value if the key's version is ``expect``."""
         if len(value.encode()) > VALUE_LIMIT_BYTES:
             return self._fail(reasons.Reason.STORE_VALUE_TOO_LARGE, "put")
+        failure = self._check_expected(expect, "put")
+        if failure is not None:
+            return failure
+        revision = expect and store_eras.find_revision(expect)
         body = await self._call(
             "PUT",
             f"/kv/{_quote(key)}",
-            json={"value": value, "expect": expect, "lease_id": lease_id},
+            json={"value": value, "expect": revision, "lease_id": lease_id},
         )
-        if isinstance(body, reasons.Failure):
-            return body
-        return Entry(key=key, value=value, version=body["version"])
+        failure = self._check_written(expect, body, "put")
+        if failure is not None:
+            return failure
+        version = store_eras.make_version(self._eras.current, body["version"])
+        return Entry(key=key, value=value, version=version)
 
     async def delete(
         self, key: str, *, expect: int | None
     ) -> None | reasons.Failure:
         """Delete a key if its version is ``expect``."""
-        params = {} if expect is None else {"expect": str(expect)}
+        failure = self._check_expected(expect, "delete")
+        if failure is not None:
+            return failure
+        params = {}
+        if expect is not None:
+            params["expect"] = str(store_eras.find_revision(expect))
         body = await self._call("DELETE", f"/kv/{_quote(key)}", params=params)
-        return body if isinstance(body, reasons.Failure) else None
+        return self._check_written(expect, body, "delete")
 
     async def watch(
         self, prefix: str, *, after: int, timeout: float
     ) -> Change | reasons.Failure:
         """Wait up to ``timeout`` seconds for a write below a prefix."""
+        if store_eras.find_era(after) != self._eras.current:
+            return self._fail(reasons.Reason.STORE_HISTORY_GONE, "watch")
         body = await self._call(
             "GET",
             "/watch",
             params={
                 "prefix": prefix,
-                "after": str(after),
+                "after": str(store_eras.find_revision(after)),
                 "timeout": str(timeout),
             },
             timeout=timeout + self._timeout,
         )
         if isinstance(body, reasons.Failure):
             return body
-        return _read_change(body)
+        if store_eras.find_era(after) != self._eras.current:
+            return self._fail(reasons.Reason.STORE_HISTORY_GONE, "watch")
+        return self._read_change(body)
 
     async def grant_lease(self, ttl: float) -> StoreLease | reasons.Failure:
         """Take a lease that lapses after ``ttl`` seconds."""
         body = await self._call("POST", "/leases", json={"ttl": ttl})
         if isinstance(body, reasons.Failure):
             return body
-        return StoreLease(lease_id=body["lease_id"], ttl=ttl)
+        return StoreLease(
+            lease_id=body["lease_id"], ttl=ttl, era=self._eras.current
+        )
 
     async def keep_lease(self, lease_id: str) -> None | reasons.Failure:
         """Renew a lease for another ``ttl``."""
@@ -200,6 +237,7 @@
                 **kwargs,
             ) as response:
                 body = await response.json()
+                era = store_eras.parse_era(response.headers.get(ERA_HEADER))
         except aiohttp.ClientConnectorError as error:
             return self._fail(
                 reasons.Reason.STORE_UNAVAILABLE, step, str(error)
@@ -212,6 +250,18 @@
                 repr(error),
                 ran=reasons.Ran.UNKNOWN,
             )
+        # Errors may come from something in front of the store, without era.
+        if (era is not None or response.status < 400) and (
+            not self._eras.observe(era)
+        ):
+            return self._fail(
+                reasons.Reason.STORE_UNAVAILABLE,
+                step,
+                f"response of era {era or 0}, which has ended",
+                ran=reasons.Ran.UNKNOWN,
+            )
+        if response.status == 410:
+            return self._fail(reasons.Reason.STORE_HISTORY_GONE, step)
         if response.status == 409:
             return self._fail(
                 reasons.Reason.STORE_CONFLICT, step, body.get("detail", "")
@@ -224,6 +274,25 @@
             )
         return body
 
+    def _check_expected(self, expect, step) -> reasons.Failure | None:
+        return check_expected(self._eras, expect, step, self._address)
+
+    def _check_written(self, expect, body, step) -> reasons.Failure | None:
+        return check_written(self._eras, expect, body, step, self._address)
+
+    def _read_entry(self, body: dict) -> Entry:
+        version = store_eras.make_version(self._eras.current, body["version"])
+        return Entry(key=body["key"], value=body["value"], version=version)
+
+    def _read_change(self, body: dict) -> Change:
+        return Change(
+            revision=store_eras.make_version(
+                self._eras.current, body["revision"]
+            ),
+            entries=tuple(map(self._read_entry, body["entries"])),
+            deleted=tuple(body.get("deleted", ())),
+        )
+
     def _fail(
         self,
         reason: reasons.Reason,
@@ -244,10 +313,42 @@
     return urllib.parse.quote(key, safe="/")
 
 
-def _read_change(body: dict) -> Change:
-    entries = tuple(Entry(**entry) for entry in body["entries"])
-    return Change(
-        revision=body["revision"],
-        entries=entries,
-        deleted=tuple(body.get("deleted", ())),
+def check_expected(
+    eras: store_eras.StoreEras, expect: int | None, step: str, peer: str
+) -> reasons.Failure | None:
+    """Return the failure of a write whose expected version has ended.
+
+    The store would compare the revision alone, which another state may have
+    in the new era.
+    """
+    if not expect or store_eras.find_era(expect) == eras.current:
+        return None
+    return reasons.Failure(
+        reason=reasons.Reason.STORE_CONFLICT,
+        step=step,
+        peer=peer,
+        ran=reasons.Ran.NO,
+        detail=f"version is of era {store_eras.find_era(expect)}, "
+        f"the store is in era {eras.current}",
+    )
+
+
+def check_written(
+    eras: store_eras.StoreEras, expect: int | None, body, step: str, peer: str
+) -> reasons.Failure | None:
+    """Return the failure of a write that was sent, if it has failed.
+
+    A write that met a new era was compared with another state than the
+    expected one, so that its caller has to read again.
+    """
+    if isinstance(body, reasons.Failure):
+        return body
+    if not expect or store_eras.find_era(expect) == eras.current:
+        return None
+    return reasons.Failure(
+        reason=reasons.Reason.STORE_CONFLICT,
+        step=step,
+        peer=peer,
+        ran=reasons.Ran.UNKNOWN,
+        detail="the store was restored from a copy while it was written",
     )
--- a/testbed/steps.py
+++ b/testbed/steps.py
@@ -184,6 +184,7 @@
             session=session,
             address=address,
             timeout=self.settings.platform_timeout,
+            eras=self.eras,
         )
 
     def make_claims(self):
--- a/testbed/stores.py
+++ b/testbed/stores.py
@@ -33,6 +33,11 @@
         self.held = []
         self.after_loss = None
 
+    @property
+    def eras(self):
+        """The eras that the inner store has seen."""
+        return self._inner.eras
+
     async def get(self, key):
         """Return the entry of a key, or None when there is none."""
         return self._refuse() or await self._inner.get(key)
