Keep caches and moves in force when the store is restored

Hosts compared revisions that a restored store had issued again: they ignored what was written anew, took lost configurations from each other's memory, and a move that had ended was in trial again.

Watchers list again in a new era; directories give upstreams the grace period and don't bring back what leaves; configurations offer only what the store has; orders that are written again are the same move, and the holder of the duties writes the states that the store lost. Hosts tell each other the era by the topic store-era.

--- a/buckthornhold/coordination/store_eras.py
+++ b/buckthornhold/coordination/store_eras.py
@@ -14,6 +14,8 @@
 
 import loguru
 
+#: Topic whose version is the highest era that a host has seen.
+TOPIC = "store-era"
 #: Revisions of one era; 2**40 last for 29 years at 1,200 writes a second.
 REVISIONS_PER_ERA = 2**40
 #: Fencing tokens of one era.
@@ -21,8 +23,8 @@
 
 
 def make_version(era: int, revision: int) -> int:
-    """Return the version of a revision; 0 (no entry) has no era."""
-    return era * REVISIONS_PER_ERA + revision if revision else 0
+    """Return the version of a revision."""
+    return era * REVISIONS_PER_ERA + revision
 
 
 def find_era(version: int) -> int:
@@ -131,8 +133,8 @@
 
     def learn(self, era: int) -> None:
         """Record the era that a peer has seen."""
-        if era > 0:
-            self.observe(max(era, self._current))
+        if era > self._current:
+            self.observe(era)
 
     def _notify(self) -> None:
         # A part that is told may itself see a still later era.
@@ -165,8 +167,14 @@
 
 
 def make_eras(host) -> StoreEras:
-    """Return a host's view of the store's eras."""
-    return StoreEras(logger=host.logger, counters=host.counters)
+    """Return a host's view of the store's eras, which it tells its peers."""
+    eras = StoreEras(logger=host.logger, counters=host.counters)
+    host.members.add_topic(
+        TOPIC,
+        read_version=lambda: eras.current,
+        on_behind=lambda member, era: eras.learn(era),
+    )
+    return eras
 
 
 def parse_era(text: str | None) -> int | None:
--- a/buckthornhold/daemons.py
+++ b/buckthornhold/daemons.py
@@ -79,7 +79,6 @@
         self.counters = counters.Counters(
             address=config.statsd_address, prefix=config.statsd_prefix
         )
-        self.eras = store_eras.make_eras(self)
         self.admissions = admissions.AdmissionController(
             max_in_flight=config.max_in_flight,
             retry_after=config.retry_after,
@@ -111,6 +110,7 @@
             ),
             notify=self._take_member,
         )
+        self.eras = store_eras.make_eras(self)
         self.pauses = pause_detectors.PauseDetector(
             threshold=config.pause_threshold,
             refresh_timeout=config.refresh_timeout,
--- a/buckthornhold/prefix_watchers.py
+++ b/buckthornhold/prefix_watchers.py
@@ -7,6 +7,7 @@
 from buckthornhold import reasons
 from buckthornhold import stores
 from buckthornhold import tasks
+from buckthornhold.coordination import store_eras
 
 #: Wait after a failed read. A change must be active about two seconds after
 #: the store accepted it, also on a host whose last call failed.
@@ -24,7 +25,8 @@
     returned changes, the next begins ``read_batch_seconds()`` later, so that
     many changes need few calls. Once the entries were read, the store is only
     called while ``should_read()`` is True. ``record_answer`` is called after
-    each answer of the store.
+    each answer of the store. When the store was restored, all entries are
+    read again.
     """
 
     def __init__(
@@ -57,6 +59,10 @@
         self._loaded = False
         self._reached = True
         self._last_answer_at = time.monotonic()
+        self._pending_watch: asyncio.Task | None = None
+        store.eras.add_part(
+            store_eras.Order.WATCHERS, f"watch {prefix}", self._begin_era
+        )
 
     @property
     def reached(self) -> bool:
@@ -77,9 +83,7 @@
         self._loaded = True
         revision = listed.revision
         while not self.should_stop and self._should_read():
-            change = await self._store.watch(
-                self._prefix, after=revision, timeout=self._watch_seconds
-            )
+            change = await self._watch(revision)
             if isinstance(change, reasons.Failure):
                 self._handle_watch_failure(change)
                 return
@@ -90,6 +94,32 @@
                 self._apply_change(change)
                 await asyncio.sleep(self._read_batch_seconds())
 
+    async def _watch(self, revision: int) -> stores.Change | reasons.Failure:
+        """Watch until a change, a failure or a new era of the store."""
+        task = asyncio.ensure_future(
+            self._store.watch(
+                self._prefix, after=revision, timeout=self._watch_seconds
+            )
+        )
+        self._pending_watch = task
+        try:
+            return await task
+        except asyncio.CancelledError:
+            if asyncio.current_task().cancelling():
+                raise
+            return reasons.Failure(
+                reason=reasons.Reason.STORE_HISTORY_GONE,
+                step="watch",
+                detail="the store was restored from a copy",
+            )
+        finally:
+            self._pending_watch = None
+
+    def _begin_era(self, change: store_eras.EraChange) -> None:
+        """End a watch from a revision that names another state by now."""
+        if self._pending_watch is not None:
+            self._pending_watch.cancel()
+
     def _handle_watch_failure(self, failure: reasons.Failure) -> None:
         """Start over with a read, without waiting for the interval.
 
--- a/buckthornhold/relay_hosts.py
+++ b/buckthornhold/relay_hosts.py
@@ -88,7 +88,6 @@
             address=config.statsd_address, prefix=config.statsd_prefix
         )
         self.metrics = metrics.Metrics(counts=self.counters)
-        self.eras = store_eras.make_eras(self)
         self.admissions = admissions.AdmissionController(
             max_in_flight=config.max_in_flight, retry_after=config.retry_after
         )
@@ -110,6 +109,7 @@
             ),
             notify=self._handle_member_change,
         )
+        self.eras = store_eras.make_eras(self)
         self.pauses = pause_detectors.PauseDetector(
             threshold=config.pause_threshold,
             refresh_timeout=config.refresh_timeout,
--- a/buckthornhold/relay_messages.py
+++ b/buckthornhold/relay_messages.py
@@ -15,6 +15,12 @@
 #: Statuses that tell clients that the request was not executed.
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 
+#: Estimated time per token of a stream. A step of an engine takes 5 ms or
+#: more and grows with the number of its running requests.
+SECONDS_PER_TOKEN = 0.008
+#: Share of the target latency after which a first event usually arrives.
+FIRST_EVENT_TARGET_SHARE = 0.5
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class RelayRequest:
@@ -47,6 +53,12 @@
     )
 
 
+def estimate_seconds(request: RelayRequest) -> float:
+    """Return the estimated duration of a request."""
+    first = request.route.target * FIRST_EVENT_TARGET_SHARE
+    return first + request.workload.output_tokens * SECONDS_PER_TOKEN
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Event:
     """One whole event of a stream: its id and its raw bytes."""
--- a/buckthornhold/relay_moves.py
+++ b/buckthornhold/relay_moves.py
@@ -9,11 +9,7 @@
 
 import asyncio
 from collections.abc import Callable
-from collections.abc import Iterable
 import dataclasses
-import json
-
-import pydantic
 
 from buckthornhold import reasons
 from buckthornhold import relay_messages
@@ -24,20 +20,16 @@
 from buckthornhold import tasks
 from buckthornhold.coordination import broadcasts
 from buckthornhold.coordination import evidence
+from buckthornhold.coordination import move_eras
+from buckthornhold.coordination import store_eras
 from buckthornhold.coordination import version_moves
 from buckthornhold.peers import summaries_pb2
 
-_STATES = pydantic.TypeAdapter(list[version_moves.Progress])
 TOPIC = "moves"
 #: Key of the states of all moves in the store.
 STATES_KEY = "moves"
 #: Interval between two evaluations of the outcomes.
 EVALUATION_INTERVAL_SECONDS = 0.25
-#: Estimated time per token of a stream. A step of an engine takes 5 ms or
-#: more and grows with the number of its running requests.
-SECONDS_PER_TOKEN = 0.008
-#: Share of the target latency after which a first event usually arrives.
-FIRST_EVENT_TARGET_SHARE = 0.5
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -76,24 +68,33 @@
         self._decode = decode
         self._encode = encode
         self._exposure_share = host.settings.bounds.exposure_share
-        self._orders: dict[str, version_moves.Order] = {}
+        self._orders = move_eras.KnownOrders()
         self._states: dict[str, version_moves.Progress] = {}
+        #: The states as the store has them.
+        self._stored_states: dict[str, version_moves.Progress] = {}
         #: Version of the states in the store, 0 if it has none.
         self._states_version = 0
+        #: The version that the next write of the states replaces.
+        self._expected_version = 0
         self._states_loaded = False
+        #: Whether a restored store may have lost states that this host knows.
+        self._is_rewrite_due = False
         #: The reason for each move whose new version this host has stopped.
         self._blocked_moves: dict[str, str] = {}
         self._tallies: evidence.Tallies = {}
         #: The status that this host published last, by service.
         self._published: dict[str, version_moves.Progress] = {}
         host.summaries.add_source(self._fill_summary)
+        host.eras.add_part(store_eras.Order.MOVES, "moves", self._begin_era)
 
     def register_topic(self, broadcast: broadcasts.Broadcasts) -> None:
         """Register the states as a broadcast topic."""
         broadcast.add_topic(
             TOPIC,
             read=lambda: broadcasts.Document(
-                topic=TOPIC, version=self._states_version, body=self._dump()
+                topic=TOPIC,
+                version=self._states_version,
+                body=move_eras.dump_states(self._states.values()),
             ),
             read_version=lambda: self._states_version,
             apply=lambda document: self._apply_states(
@@ -116,7 +117,7 @@
 
     def is_moving(self, service: str) -> bool:
         """Tell whether a move of the service is in progress."""
-        order = self._orders.get(service)
+        order = self._orders.find(service)
         if order is None:
             return False
         progress = self._find_progress(order)
@@ -124,7 +125,7 @@
 
     def removes(self, service: str, version: str) -> bool:
         """Tell whether a move's end removes a version's upstreams."""
-        order = self._orders.get(service)
+        order = self._orders.find(service)
         progress = order and self._find_progress(order)
         now = self._host.summaries.read_time_of_day()
         return progress is not None and progress.removes(version, now)
@@ -140,19 +141,11 @@
 
         Retries go to the old version.
         """
-        order = self._orders.get(request.service)
+        order = self._orders.find(request.service)
         if order is None:
             return VersionChoice(upstreams=upstreams)
-        new = [
-            upstream
-            for upstream in upstreams
-            if upstream.record.version == order.version
-        ]
-        old = [
-            upstream
-            for upstream in upstreams
-            if upstream.record.version != order.version
-        ]
+        new = [it for it in upstreams if it.record.version == order.version]
+        old = [it for it in upstreams if it.record.version != order.version]
         progress = self._find_progress(order)
         state = progress.state if progress is not None else None
         now = self._host.summaries.read_time_of_day()
@@ -171,7 +164,7 @@
         share = version_moves.find_share(
             progress,
             now=now,
-            duration_seconds=estimate_seconds(request),
+            duration_seconds=relay_messages.estimate_seconds(request),
             exposure=self._exposure_share,
         )
         position = request_contracts.hash_to_fraction(
@@ -218,20 +211,21 @@
         gap: float,
     ) -> None:
         """Record the mean time between a stream's events, in seconds."""
-        if series is None or upstream.record.warm_up_seconds > 0:
-            return
-        tally = self._tallies.setdefault(series, evidence.Tally())
-        tally.record_gap(gap)
+        if series is not None and upstream.record.warm_up_seconds <= 0:
+            tally = self._tallies.setdefault(series, evidence.Tally())
+            tally.record_gap(gap)
 
     async def run_once(self) -> None:
         """Evaluate the outcomes; as the leader, advance the moves."""
         if not self._states_loaded:
             await self._read_states()
-        for service in list(self._orders):
+        if self._is_rewrite_due and self._states_loaded:
+            await self._rewrite_states()
+        for service in self._orders.list_services():
             await self._evaluate(service)
 
     async def _evaluate(self, service: str) -> None:
-        order = self._orders[service]
+        order = self._orders.find(service)
         now = self._host.summaries.read_time_of_day()
         progress = self._find_progress(order)
         if progress is None:
@@ -246,7 +240,9 @@
         move_id = version_moves.make_move_id(order)
         next_progress = version_moves.decide(
             progress,
-            self._merge_tallies(),
+            summary_aggregates.merge_tallies(
+                self._tallies, self._host.summaries.list_all()
+            ),
             now=now,
             exposure=self._exposure_share,
         )
@@ -276,18 +272,22 @@
     async def _commit(self, progress: version_moves.Progress) -> bool:
         """Write a move's state to the store; return whether that succeeded."""
         states = {**self._states, progress.order.service: progress}
-        text = dump_states(states.values())
-        result = await self._host.store.put(
-            STATES_KEY, text, expect=self._states_version
+        move_id = version_moves.make_move_id(progress.order)
+        return await self._write_states(
+            states, f"state {progress.state.value} of {move_id}"
         )
-        logger = self._logger.bind(
-            step="moves", peer=version_moves.make_move_id(progress.order)
+
+    async def _write_states(
+        self, states: dict[str, version_moves.Progress], what: str
+    ) -> bool:
+        text = move_eras.dump_states(states.values())
+        result = await self._host.store.put(
+            STATES_KEY, text, expect=self._expected_version
         )
         if isinstance(result, reasons.Failure):
-            logger.bind(reason=result.reason.value).warning(
-                f"state {progress.state.value} was not written to the store: "
-                f"{result.detail}"
-            )
+            self._logger.bind(
+                step="moves", reason=result.reason.value
+            ).warning(f"{what} was not written to the store: {result.detail}")
             # The store may hold this very state, or a later one.
             self._states_loaded = False
             return False
@@ -295,6 +295,24 @@
         self._host.broadcasts.publish(TOPIC)
         return True
 
+    def _begin_era(self, change: store_eras.EraChange) -> None:
+        """Read the states again, and write what the store has lost."""
+        self._states_loaded = False
+        self._is_rewrite_due = True
+        self._published.clear()
+
+    async def _rewrite_states(self) -> None:
+        """Write the known states if a restored store has lost them."""
+        if not self._host.duty.held:
+            return
+        era = store_eras.find_era(self._states_version)
+        is_stored = self._stored_states == self._states
+        if self._states and not (is_stored and era == self._host.eras.current):
+            what = "what the restored store has lost"
+            if not await self._write_states(self._states, what):
+                return
+        self._is_rewrite_due = False
+
     async def _publish_status(self, progress: version_moves.Progress) -> None:
         service = progress.order.service
         if self._published.get(service) == progress:
@@ -318,12 +336,12 @@
         self._states_loaded = True
         if entry is not None:
             self._apply_states(entry.value, entry.version)
+        elif self._host.eras.current:
+            self._expected_version = stores.MUST_NOT_EXIST
 
     def _apply_order(self, order: version_moves.Order) -> None:
-        known = self._orders.get(order.service)
-        if known is not None and known.number >= order.number:
+        if not self._orders.apply(order):
             return
-        self._orders[order.service] = order
         self._logger.bind(step="moves", peer=order.service).info(
             f"ordered to move to {order.version} within {order.seconds:g} s"
         )
@@ -334,17 +352,25 @@
         if version <= self._states_version:
             return False
         # Kept even if the text is invalid: the next write replaces it.
-        self._states_version = version
+        self._states_version = self._expected_version = version
         try:
-            self._states = load_states(text)
+            self._stored_states = move_eras.load_states(text)
         except ValueError as error:
             self._logger.bind(step="moves", peer=STATES_KEY).error(
                 f"invalid states of version {version}, the known ones stay "
                 f"in force: {error}"
             )
             return False
-        for progress in self._states.values():
+        if store_eras.find_era(version):
+            self._states = move_eras.merge_states(
+                self._states, self._stored_states
+            )
+        else:
+            self._states = dict(self._stored_states)
+        for service, progress in list(self._states.items()):
             self._apply_order(progress.order)
+            progress = self._orders.identify(progress)
+            self._states[service] = progress
             self._logger.bind(
                 step="moves", peer=version_moves.make_move_id(progress.order)
             ).info(f"{progress.state.value}: {progress.reason}")
@@ -358,19 +384,6 @@
             return None
         return progress
 
-    def _dump(self) -> str:
-        return dump_states(self._states.values())
-
-    def _merge_tallies(self) -> evidence.Tallies:
-        """Return the merged tallies of all hosts."""
-        total: evidence.Tallies = {}
-        evidence.add_tallies(total, self._tallies)
-        for summary in self._host.summaries.list_all():
-            evidence.add_tallies(
-                total, summary_aggregates.read_tallies(summary)
-            )
-        return total
-
     def _fill_summary(self, summary: summaries_pb2.Summary) -> None:
         active_moves = {
             version_moves.make_move_id(progress.order)
@@ -381,20 +394,3 @@
             if series.move not in active_moves:
                 del self._tallies[series]
         summary_aggregates.write_tallies(summary, self._tallies)
-
-
-def estimate_seconds(request: relay_messages.RelayRequest) -> float:
-    """Return the estimated duration of a request."""
-    first = request.route.target * FIRST_EVENT_TARGET_SHARE
-    return first + request.workload.output_tokens * SECONDS_PER_TOKEN
-
-
-def dump_states(states: Iterable[version_moves.Progress]) -> str:
-    """Return the states of moves as JSON."""
-    return json.dumps([dataclasses.asdict(progress) for progress in states])
-
-
-def load_states(text: str) -> dict[str, version_moves.Progress]:
-    """Parse the states of moves by service; raise ValueError if invalid."""
-    states = _STATES.validate_json(text)
-    return {progress.order.service: progress for progress in states}
--- a/buckthornhold/relay_watchers.py
+++ b/buckthornhold/relay_watchers.py
@@ -21,6 +21,7 @@
 from buckthornhold import stores
 from buckthornhold import upstream_directories
 from buckthornhold.coordination import broadcasts
+from buckthornhold.coordination import store_eras
 
 #: Topic of the operator's documents besides the configuration.
 ORDERS_TOPIC = "orders"
@@ -49,6 +50,9 @@
             read_age=store_age.read,
             logger=host.logger,
         )
+        host.eras.add_part(
+            store_eras.Order.DIRECTORY, "directory", host.directory.begin_era
+        )
         host.broadcasts.add_topic(
             ORDERS_TOPIC,
             read=self._make_orders_document,
@@ -99,11 +103,11 @@
 
     def _apply_documents(self, change: stores.Change) -> None:
         """Apply the operator's changed documents; push the new ones."""
-        configuration_version = self._host.configurations.version
+        configuration_version = self._host.configurations.offered_version
         orders_version = self._read_orders_version()
         self._host.configurations.apply_change(change)
         self._apply_orders(change)
-        if self._host.configurations.version > configuration_version:
+        if self._host.configurations.offered_version > configuration_version:
             self._publish(configurations.TOPIC)
         if self._read_orders_version() > orders_version:
             self._publish(ORDERS_TOPIC)
--- a/buckthornhold/summary_aggregates.py
+++ b/buckthornhold/summary_aggregates.py
@@ -246,6 +246,17 @@
     write_tallies(total, merged)
 
 
+def merge_tallies(
+    own: evidence.Tallies, parts: Iterable[summaries_pb2.Summary]
+) -> evidence.Tallies:
+    """Return the evidence of this host and of others together."""
+    merged: evidence.Tallies = {}
+    evidence.add_tallies(merged, own)
+    for part in parts:
+        evidence.add_tallies(merged, read_tallies(part))
+    return merged
+
+
 def subtract_summary(
     total: summaries_pb2.Summary, part: summaries_pb2.Summary
 ) -> None:
--- a/buckthornhold/upstream_directories.py
+++ b/buckthornhold/upstream_directories.py
@@ -13,6 +13,7 @@
 
 from buckthornhold import stores
 from buckthornhold.coordination import broadcasts
+from buckthornhold.coordination import store_eras
 
 TOPIC = "directory"
 #: Each upstream writes about once a second, and every host watches all of
@@ -88,6 +89,31 @@
     #: When a missing entry is removed, on the monotonic clock.
     remove_at: float | None = None
 
+    def is_of_earlier_era(self, revision: int) -> bool:
+        """Tell whether a revision is of a later era of the store."""
+        return store_eras.find_era(revision) > store_eras.find_era(
+            self.revision
+        )
+
+
+def _keep_newer(
+    known: UpstreamRecord | None, stored: UpstreamRecord | None
+) -> UpstreamRecord | None:
+    """Return a restored store's record, or what is known to be newer.
+
+    The copy may contain an earlier process of the name, or the process before
+    it announced that it leaves.
+    """
+    if known is None or stored is None:
+        return stored
+    if known.started_at > stored.started_at:
+        return known
+    if known.leaving and known.key == stored.key and not stored.leaving:
+        return dataclasses.replace(
+            stored, leaving=True, leaves_in_seconds=known.leaves_in_seconds
+        )
+    return stored
+
 
 class UpstreamDirectory:
     """Holds the entries of upstreams and keeps them up to date.
@@ -118,8 +144,8 @@
         self._notify = notify
         self._clock = clock
         self._entries: dict[str, _Entry] = {}
-        #: Revision of each removed entry, and when it was removed.
-        self._removed: dict[str, tuple[int, float]] = {}
+        #: Each removed entry, and when it was removed.
+        self._removed: dict[str, tuple[_Entry, float]] = {}
         self._revision = 0
         self._version = 0
         #: Whether the list changed since the version was set.
@@ -179,6 +205,10 @@
         if reached:
             self._store_back_at = self._clock()
 
+    def begin_era(self, change: store_eras.EraChange) -> None:
+        """Give upstreams time to write what a restored store has lost."""
+        self._store_back_at = self._clock()
+
     def apply_snapshot(self, change: stores.Change) -> None:
         """Apply all entries that the store has at a revision."""
         self._updated_at = self._clock()
@@ -238,8 +268,8 @@
         entry = self._entries.get(name)
         if entry is not None and revision <= entry.revision:
             return
-        removed_revision, _ = self._removed.get(name, (0, 0.0))
-        if revision <= removed_revision:
+        removed, _ = self._removed.get(name, (None, 0.0))
+        if removed is not None and revision <= removed.revision:
             return
         try:
             record = self._decode(name, text)
@@ -250,6 +280,9 @@
                 f"{' '.join(str(error).split())[:200]}"
             )
         previous = entry.record if entry is not None else None
+        former = entry or removed
+        if former is not None and former.is_of_earlier_era(revision):
+            record = _keep_newer(former.record, record)
         self._entries[name] = _Entry(
             revision=revision, text=text, record=record
         )
@@ -302,7 +335,7 @@
         ]
         for name in expired:
             entry = self._entries.pop(name)
-            self._removed[name] = (entry.revision, now)
+            self._removed[name] = (entry, now)
             self._changed |= entry.record is not None
         for name, (_, removed_at) in list(self._removed.items()):
             if removed_at < now - REMOVED_RETENTION_SECONDS:
