Report a usage window with one count when the store is restored

A total that was lost after its report was summed up again by a later holder, from other summaries. Where the store names its era, all hosts are told a total before it is reported, and a holder stores and reports the one it knows. Rosters and totals take new leases, as lost ids are issued again; store readers write again what the judge of moves had written.

--- a/buckthornhold/coordination/store_eras.py
+++ b/buckthornhold/coordination/store_eras.py
@@ -50,11 +50,9 @@
     CONFIGURATIONS = 4
     MOVES = 5
     USAGE = 6
-    CHECKPOINTS = 7
-    FACTS = 8
-    ROSTER = 9
-    CLAIMS = 10
-    RULES = 11
+    ROSTER = 7
+    CLAIMS = 8
+    RULES = 9
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/buckthornhold/counters.py
+++ b/buckthornhold/counters.py
@@ -69,6 +69,7 @@
     "upstreams.backed_off",
     "upstreams.crashed",
     "upstreams.silent",
+    "usage.totals_replaced",
     "versions.withdrawn",
 )
 
--- a/buckthornhold/exchanges.py
+++ b/buckthornhold/exchanges.py
@@ -30,7 +30,7 @@
 MOVES_PREFIX = "moves/"
 #: Facts that any host writes to the store, under their own keys.
 WRITTEN_PREFIXES = (withdrawals.PREFIX, poison_detectors.POISON_PREFIX)
-#: Facts that are read from the store.
+#: Facts that are read from the store; a restored one may have lost any.
 READ_PREFIXES = (*WRITTEN_PREFIXES, MOVES_PREFIX)
 STORE_READERS_PER_ZONE = 2
 PASS_ON_COUNT = 2
@@ -259,7 +259,7 @@
                     await self._host.store.delete(
                         entry.key, expect=entry.version
                     )
-            if prefix not in WRITTEN_PREFIXES:
+            if prefix not in WRITTEN_PREFIXES and not self._host.eras.current:
                 continue
             for fact in self._known.list_all(prefix):
                 if fact.key not in found:
--- a/buckthornhold/rosters.py
+++ b/buckthornhold/rosters.py
@@ -7,7 +7,9 @@
 from collections.abc import Callable
 
 from buckthornhold import reasons
+from buckthornhold import stores
 from buckthornhold import tasks
+from buckthornhold.coordination import store_eras
 
 PREFIX = "entry-hosts/"
 #: Time between two readings, in seconds; probes find changes sooner.
@@ -33,6 +35,7 @@
         self._is_reader = is_reader
         self._lease_id: str | None = None
         self._rounds = 0
+        host.eras.add_part(store_eras.Order.ROSTER, "roster", self._begin_era)
 
     async def run_once(self) -> None:
         """Write or renew the own address, and read all now and then."""
@@ -51,6 +54,13 @@
         addresses.discard(self._host.settings.listen.peers)
         self._host.prober.apply_listing(sorted(addresses))
 
+    def _begin_era(self, change: store_eras.EraChange) -> None:
+        """Register again in the next round; hosts' rounds are spread.
+
+        The lease's id may belong to another host by now.
+        """
+        self._lease_id = None
+
     async def _keep(self) -> None:
         if self._lease_id is not None:
             if self._rounds % int(LEASE_SECONDS * RENEW_AFTER / INTERVAL):
@@ -70,5 +80,7 @@
             expect=None,
             lease_id=granted.lease_id,
         )
-        if not isinstance(written, reasons.Failure):
+        if not isinstance(written, stores.Entry):
+            return
+        if store_eras.find_era(written.version) == granted.era:
             self._lease_id = granted.lease_id
--- a/buckthornhold/tools/meanings.py
+++ b/buckthornhold/tools/meanings.py
@@ -236,6 +236,7 @@
     "upstreams.backed_off": "Answers that asked for no requests for a time.",
     "upstreams.crashed": "Upstreams found to have crashed.",
     "upstreams.silent": "Engines that fell silent towards this host.",
+    "usage.totals_replaced": "Totals of usage that a restored store had lost.",
     "versions.withdrawn": "Withdrawals of versions that became known.",
     "tasks.errors": "Unforeseen errors in background tasks.",
 }
--- /dev/null
+++ b/buckthornhold/usage_totals.py
@@ -0,0 +1,77 @@
+"""Usage totals: the totals of windows that hosts have agreed on.
+
+The store holds them. If it is restored from a copy, a total may be lost that
+was reported already. Where the store names its era, the holder of the duty
+therefore tells all hosts a total before it reports it, and any later holder
+reports and stores the total that it knows.
+"""
+
+from collections.abc import Callable
+import json
+import math
+
+from buckthornhold.coordination import broadcasts
+
+TOPIC = "usage-totals"
+#: Totals written this long ago aren't lost by a restoration: the copy is at
+#: most 10 s old, and the outage before it is brief.
+RETENTION_SECONDS = 20.0
+
+
+class UsageTotals:
+    """Holds the totals of the latest windows, the first one of each.
+
+    ``is_needed`` tells whether the store may lose totals.
+    """
+
+    def __init__(
+        self, *, window_seconds: float, is_needed: Callable[[], bool]
+    ) -> None:
+        self._retained = math.ceil(RETENTION_SECONDS / window_seconds)
+        self._is_needed = is_needed
+        self._totals: dict[int, dict[str, int]] = {}
+
+    @property
+    def version(self) -> int:
+        """The latest window with a total, 0 if there is none."""
+        return max(self._totals, default=0)
+
+    def register_topic(self, broadcast: broadcasts.Broadcasts) -> None:
+        """Let all hosts know the totals."""
+        broadcast.add_topic(
+            TOPIC,
+            read=self._make_document,
+            read_version=lambda: self.version,
+            apply=self._apply_document,
+        )
+
+    def find(self, window: int) -> dict[str, int] | None:
+        """Return the total of a window, None if it isn't known."""
+        return self._totals.get(window)
+
+    def add(self, window: int, counts: dict[str, int]) -> bool:
+        """Add a total; return whether other hosts must be told it."""
+        if not self._is_needed() or window in self._totals:
+            return False
+        self._totals[window] = counts
+        self._prune()
+        return True
+
+    def _make_document(self) -> broadcasts.Document:
+        return broadcasts.Document(
+            topic=TOPIC, version=self.version, body=json.dumps(self._totals)
+        )
+
+    def _apply_document(self, document: broadcasts.Document) -> bool:
+        if document.version <= self.version:
+            return False
+        totals = json.loads(document.body)
+        for window, counts in totals.items():
+            self._totals.setdefault(int(window), counts)
+        self._prune()
+        return True
+
+    def _prune(self) -> None:
+        oldest = self.version - self._retained
+        for window in [it for it in self._totals if it < oldest]:
+            del self._totals[window]
--- a/buckthornhold/usages.py
+++ b/buckthornhold/usages.py
@@ -3,6 +3,7 @@
 Every host counts its own requests and sends the counts in its summaries. The
 host that holds the duty (a lease) adds them up, writes the total to the store
 and reports the stored total, so that a later holder reports the same numbers.
+Totals that a restored store has lost are written again (``usage_totals``).
 """
 
 import abc
@@ -13,6 +14,8 @@
 from buckthornhold import reasons
 from buckthornhold import stores
 from buckthornhold import tasks
+from buckthornhold import usage_totals
+from buckthornhold.coordination import store_eras
 from buckthornhold.peers import summaries_pb2
 
 #: Time between two checks for windows to report.
@@ -119,6 +122,12 @@
         self._start_window: int | None = None
         self._lease_id: str | None = None
         self._lease_reusable_until = 0.0
+        self._totals = usage_totals.UsageTotals(
+            window_seconds=self._bounds.usage_window,
+            is_needed=lambda: host.eras.numbered,
+        )
+        self._totals.register_topic(host.broadcasts)
+        host.eras.add_part(store_eras.Order.USAGE, "usage", self._begin_era)
 
     async def run_once(self) -> None:
         """Report the windows that are due."""
@@ -154,13 +163,14 @@
         return not self._host.summaries.count_silent_hosts()
 
     async def _report(self, window: int) -> bool:
-        """Report a window's stored total; store it first if there is none."""
-        key = f"usage/{window}"
-        counts = await self._read_total(key)
-        if counts is None:
-            counts = await self._write_total(
-                key, self._aggregate_window(window)
-            )
+        """Report a window's stored total; store it first if there is none.
+
+        A total that other hosts must know is reported in a later step.
+        """
+        counts = await self._find_total(window)
+        if counts is not None and self._totals.add(window, counts):
+            self._host.broadcasts.publish(usage_totals.TOPIC)
+            return True
         if counts is None or not self._host.duty.held:
             return False
         fence = self._host.duty.fence
@@ -177,12 +187,54 @@
             await self._host.duty.give_up()
         return False
 
+    async def _find_total(self, window: int) -> dict[str, int] | None:
+        """Return a window's total once the store has it."""
+        key = f"usage/{window}"
+        known = self._totals.find(window)
+        entry = await self._host.store.get(key)
+        stored = None
+        if isinstance(entry, stores.Entry):
+            stored = json.loads(entry.value)
+        if known is None:
+            if stored is not None:
+                return stored
+            return await self._write_total(key, self._aggregate_window(window))
+        if stored is None:
+            stored = await self._write_total(key, known)
+        elif stored != known:
+            stored = await self._replace_total(entry, known)
+        return known if stored == known else None
+
+    async def _replace_total(
+        self, entry: stores.Entry, counts: dict[str, int]
+    ) -> dict[str, int] | None:
+        """Replace a total that was summed up after the known one was lost."""
+        self._host.counters.count_event("usage.totals_replaced")
+        self._logger.bind(step="report usage", peer=entry.key).warning(
+            "the restored store has another total than the one known before, "
+            "which replaces it"
+        )
+        lease_id = await self._find_lease()
+        if lease_id is None:
+            return None
+        written = await self._host.store.put(
+            entry.key,
+            json.dumps(counts, sort_keys=True),
+            expect=entry.version,
+            lease_id=lease_id,
+        )
+        return counts if isinstance(written, stores.Entry) else None
+
     async def _read_total(self, key: str) -> dict[str, int] | None:
         entry = await self._host.store.get(key)
         if not isinstance(entry, stores.Entry):
             return None
         return json.loads(entry.value)
 
+    def _begin_era(self, change: store_eras.EraChange) -> None:
+        """Take another lease: lost ids are issued again to others."""
+        self._lease_id = None
+
     async def _write_total(
         self, key: str, counts: dict[str, int]
     ) -> dict[str, int] | None:
@@ -211,6 +263,8 @@
         granted = await self._host.store.grant_lease(TOTAL_LEASE_SECONDS)
         if isinstance(granted, reasons.Failure):
             return None
+        if granted.era != self._host.eras.current:
+            return None
         self._lease_id = granted.lease_id
         self._lease_reusable_until = now + granted.ttl / 2
         return self._lease_id
--- /dev/null
+++ b/features/steps/store_era_usage_steps.py
@@ -0,0 +1,144 @@
+"""Steps on usage windows of a restored store, without a network."""
+
+import asyncio
+import json
+import types
+
+import behave
+import loguru
+
+from buckthornhold import counters
+from buckthornhold import usages
+from testbed import era_stores
+
+WINDOW = 100
+WINDOW_SECONDS = 5.0
+
+
+class Cloud(usages.FencedClient):
+    """Takes reports and keeps them all."""
+
+    def __init__(self):
+        self.reports = []
+
+    async def report_usage(self, window, counts, *, fence):
+        """Keep a report."""
+        self.reports.append((window, dict(counts)))
+
+    async def order_upstreams(self, *args, **kwargs):
+        """Not used."""
+
+
+class Host:
+    """A host with the parts that a reporter needs."""
+
+    def __init__(self, *, backend, cloud, count):
+        self.store = era_stores.EraStore(backend=backend)
+        self.eras = self.store.eras
+        self.logger = loguru.logger
+        self.counters = counters.Counters(address=None, prefix="")
+        self.settings = types.SimpleNamespace(
+            bounds=types.SimpleNamespace(
+                usage_window=WINDOW_SECONDS, usage_late=10.0
+            )
+        )
+        self.duty = types.SimpleNamespace(held=False, fence=1)
+        self.usage = types.SimpleNamespace(
+            find_current_window=lambda: WINDOW + 1,
+            counts={WINDOW: {"shop": count}},
+        )
+        self.summaries = types.SimpleNamespace(
+            aggregation_delay_seconds=0.0,
+            read_time_of_day=lambda: (WINDOW + 2) * WINDOW_SECONDS,
+            count_silent_hosts=lambda: 0,
+            list_all=list,
+        )
+        self.broadcasts = self
+        self.followers = []
+        self.told = 0
+        self.reporter = usages.UsageReporter(host=self, calls=cloud)
+
+    def add_topic(self, name, *, read, read_version, apply):
+        """Register the totals' topic."""
+        self.read = read
+        self.apply = apply
+
+    def publish(self, topic):
+        """Tell the followers the totals at once."""
+        self.told += 1
+        for follower in self.followers:
+            follower.apply(self.read())
+
+
+def run(host, steps):
+    async def report():
+        host.duty.held = True
+        for _ in range(steps):
+            await host.reporter.run_once()
+        host.duty.held = False
+
+    loguru.logger.disable("buckthornhold")
+    asyncio.run(report())
+    loguru.logger.enable("buckthornhold")
+
+
+@behave.given("eras: a holder of the duties and a host that follows it")
+def make_hosts(context):
+    backend = context.backend = era_stores.EraBackend()
+    backend.take_copy()
+    context.cloud = Cloud()
+    make = {"backend": backend, "cloud": context.cloud}
+    context.holder = Host(count=7, **make)
+    context.other = Host(count=9, **make)
+    context.holder.followers.append(context.other)
+    for host in (context.holder, context.other):
+        host.reporter._start_window = WINDOW
+
+
+@behave.when(
+    "eras: the store goes back {when} write {write:d} of a window's report"
+)
+def report_and_restore(context, when, write):
+    backend = context.backend
+    backend.plan = (write, when)
+    # The third write doesn't happen: the total is lost after its report.
+    run(context.holder, 2)
+    if backend.era == 0:
+        assert context.cloud.reports
+        backend.restore()
+
+
+@behave.when("eras: the {name} host reports with other counts of its own")
+def report_again(context, name):
+    host = context.holder if name == "same" else context.other
+    host.usage.counts[WINDOW]["shop"] += 5
+    host.reporter._reported.clear()
+    run(host, 6)
+
+
+@behave.then("eras: the window was reported with one count")
+def check_reports(context):
+    reports = {json.dumps(report) for report in context.cloud.reports}
+    assert len(reports) == 1, context.cloud.reports
+
+
+@behave.then("eras: the store has the reported total")
+def check_total(context):
+    stored = json.loads(context.backend.items[f"usage/{WINDOW}"][1])
+    assert stored == context.cloud.reports[0][1], stored
+
+
+@behave.when("eras: the store names no era and a window is reported")
+def report_without_eras(context):
+    context.backend.names_era = False
+    context.holder = Host(
+        backend=context.backend, cloud=context.cloud, count=7
+    )
+    context.holder.reporter._start_window = WINDOW
+    run(context.holder, 1)
+
+
+@behave.then("eras: it was reported in one step and no other host was told")
+def check_at_once(context):
+    assert len(context.cloud.reports) == 1
+    assert context.holder.told == 0
--- /dev/null
+++ b/features/store_eras/usage.feature
@@ -0,0 +1,25 @@
+Feature: Usage windows of a restored store
+  A window would be reported with two different counts if its total was lost
+  after the report and a later holder summed it up again.
+
+  Scenario Outline: A window keeps its count when its total is lost
+    Given eras: a holder of the duties and a host that follows it
+    When eras: the store goes back <when> write <write> of a window's report
+    And eras: the <next> reports with other counts of its own
+    Then eras: the window was reported with one count
+    And eras: the store has the reported total
+
+    Examples:
+      | when   | write | next            |
+      | before | 1     | same host       |
+      | before | 2     | same host       |
+      | after  | 2     | same host       |
+      | before | 1     | other host      |
+      | before | 2     | other host      |
+      | after  | 2     | other host      |
+      | after  | 3     | other host      |
+
+  Scenario: Without eras a window is reported at once and nobody is told
+    Given eras: a holder of the duties and a host that follows it
+    When eras: the store names no era and a window is reported
+    Then eras: it was reported in one step and no other host was told
--- a/testbed/era_stores.py
+++ b/testbed/era_stores.py
@@ -15,12 +15,14 @@
 class EraBackend:
     """The keys, revisions, leases and era that all clients share.
 
+    Without ``names_era`` responses carry no era.
     ``plan`` is the number of a write and ``before`` or ``after``: there the
     store goes back to the copy. Lease grants count as writes.
     """
 
     def __init__(self):
         self.era = 0
+        self.names_era = True
         self.revision = 10
         self.items = {}
         self.leases = set()
@@ -72,7 +74,7 @@
     def __init__(self, *, backend):
         self._backend = backend
         self._eras = store_eras.StoreEras()
-        self._eras.observe(backend.era)
+        self._observe(backend.era)
 
     @property
     def eras(self):
@@ -81,13 +83,13 @@
 
     async def get(self, key):
         """Return the entry of a key, or None when there is none."""
-        self._eras.observe(self._backend.era)
+        self._observe(self._backend.era)
         item = self._backend.items.get(key)
         return self._make_entry(key, item) if item else None
 
     async def list_entries(self, prefix):
         """Return all entries below a prefix."""
-        self._eras.observe(self._backend.era)
+        self._observe(self._backend.era)
         entries = tuple(
             self._make_entry(key, item)
             for key, item in self._backend.items.items()
@@ -120,12 +122,12 @@
         backend.leases.add(lease_id)
         era = backend.era
         backend.leave_write()
-        self._eras.observe(era)
+        self._observe(era)
         return stores.StoreLease(lease_id=lease_id, ttl=ttl, era=era)
 
     async def keep_lease(self, lease_id):
         """Renew a lease."""
-        self._eras.observe(self._backend.era)
+        self._observe(self._backend.era)
         if lease_id in self._backend.leases:
             return None
         return self._fail("no such lease")
@@ -150,7 +152,7 @@
             else:
                 backend.items[key] = (result, value, lease_id)
         backend.leave_write()
-        self._eras.observe(era)
+        self._observe(era)
         failure = stores.check_written(
             self._eras, expect, result, "write", "store"
         )
@@ -160,6 +162,9 @@
             key=key, value=value or "", version=self._make_version(result)
         )
 
+    def _observe(self, era):
+        self._eras.observe(era if self._backend.names_era else None)
+
     def _make_entry(self, key, item):
         return stores.Entry(
             key=key, value=item[1], version=self._make_version(item[0])
