Read rules again at once when the store was restored

The soak takes the store back to a copy of 0.5 to 10 s, and checks that no fencing token is used by two holders.

--- a/buckthornhold/coordination/revisions.py
+++ b/buckthornhold/coordination/revisions.py
@@ -10,6 +10,8 @@
 
 from buckthornhold import reasons
 from buckthornhold import stores
+from buckthornhold.coordination import era_watches
+from buckthornhold.coordination import store_eras
 
 #: Number of recent change ids that each revision contains.
 MAX_RECENT_CHANGES = 128
@@ -119,6 +121,9 @@
         self._logger = logger
         self._counters = counters
         self._repair = None
+        self._watch = era_watches.EraWatch(
+            store=store, order=store_eras.Order.RULES, name=f"watch {prefix}"
+        )
         self._current = NO_REVISION
         self._store_reached = False
         self._dump_cache = (NO_REVISION, dump_revision(NO_REVISION))
@@ -213,9 +218,11 @@
         idle_watches = 0
         while idle_watches < MAX_IDLE_WATCHES and self._is_watcher():
             after = change.revision
-            change = await self._store.watch(
+            change = await self._watch.watch(
                 self.key, after=after, timeout=self._watch_timeout
             )
+            if _is_history_gone(change):
+                return None
             if isinstance(change, reasons.Failure):
                 return change
             if change.revision < after or change.deleted:
@@ -225,3 +232,11 @@
             idle_watches += not change.entries
             await asyncio.sleep(0)
         return None
+
+
+def _is_history_gone(change) -> bool:
+    """Tell whether a watch ended as the store no longer has its revision."""
+    return (
+        isinstance(change, reasons.Failure)
+        and change.reason is reasons.Reason.STORE_HISTORY_GONE
+    )
--- a/buckthornhold/prefix_watchers.py
+++ b/buckthornhold/prefix_watchers.py
@@ -7,6 +7,7 @@
 from buckthornhold import reasons
 from buckthornhold import stores
 from buckthornhold import tasks
+from buckthornhold.coordination import era_watches
 from buckthornhold.coordination import store_eras
 
 #: Wait after a failed read. A change must be active about two seconds after
@@ -59,9 +60,10 @@
         self._loaded = False
         self._reached = True
         self._last_answer_at = time.monotonic()
-        self._pending_watch: asyncio.Task | None = None
-        store.eras.add_part(
-            store_eras.Order.WATCHERS, f"watch {prefix}", self._begin_era
+        self._watch = era_watches.EraWatch(
+            store=store,
+            order=store_eras.Order.WATCHERS,
+            name=f"watch {prefix}",
         )
 
     @property
@@ -83,7 +85,9 @@
         self._loaded = True
         revision = listed.revision
         while not self.should_stop and self._should_read():
-            change = await self._watch(revision)
+            change = await self._watch.watch(
+                self._prefix, after=revision, timeout=self._watch_seconds
+            )
             if isinstance(change, reasons.Failure):
                 self._handle_watch_failure(change)
                 return
@@ -94,32 +98,6 @@
                 self._apply_change(change)
                 await asyncio.sleep(self._read_batch_seconds())
 
-    async def _watch(self, revision: int) -> stores.Change | reasons.Failure:
-        """Watch until a change, a failure or a new era of the store."""
-        task = asyncio.ensure_future(
-            self._store.watch(
-                self._prefix, after=revision, timeout=self._watch_seconds
-            )
-        )
-        self._pending_watch = task
-        try:
-            return await task
-        except asyncio.CancelledError:
-            if asyncio.current_task().cancelling():
-                raise
-            return reasons.Failure(
-                reason=reasons.Reason.STORE_HISTORY_GONE,
-                step="watch",
-                detail="the store was restored from a copy",
-            )
-        finally:
-            self._pending_watch = None
-
-    def _begin_era(self, change: store_eras.EraChange) -> None:
-        """End a watch from a revision that names another state by now."""
-        if self._pending_watch is not None:
-            self._pending_watch.cancel()
-
     def _handle_watch_failure(self, failure: reasons.Failure) -> None:
         """Start over with a read, without waiting for the interval.
 
--- a/buckthornhold/standins/users_platforms.py
+++ b/buckthornhold/standins/users_platforms.py
@@ -46,14 +46,28 @@
         self.watches = 0
         self._leases: dict[int, tuple[float, float]] = {}
         self._next_lease = 1
+        #: What operators and workers wrote last, None if they removed it.
+        self._authored: dict[str, str | None] = {}
 
     def write(self, key: str, value, lease: int = 0) -> None:
         """Write a value as JSON, as operators and workers do."""
         text = json.dumps(value).encode()
-        self._put(key, base64.b64encode(text).decode(), lease)
+        self._authored[key] = base64.b64encode(text).decode()
+        self._put(key, self._authored[key], lease)
+
+    def write_again(self) -> None:
+        """Write what operators and workers wrote and a copy doesn't have."""
+        for key, value in self._authored.items():
+            item = self.items.get(key)
+            if value is None:
+                self.remove(key)
+            elif item is None or item["value"] != value:
+                self._put(key, value, 0)
 
     def remove(self, key: str) -> None:
         """Remove a key."""
+        if key in self._authored:
+            self._authored[key] = None
         if key not in self.items:
             return
         self.copies.record()
--- a/testbed/soak.py
+++ b/testbed/soak.py
@@ -8,6 +8,7 @@
 
 import argparse
 import asyncio
+import collections
 import logging
 import pathlib
 import random
@@ -17,6 +18,7 @@
 import tempfile
 import time
 
+from buckthornhold.standins import users_platforms
 from testbed import soak_callers
 from testbed import soak_fleets
 from testbed import soak_histories
@@ -35,6 +37,9 @@
 #: Odd answers that are given out at once, and the time to the next, in s.
 ODD_ANSWERS_AT_ONCE = 3
 ODD_ANSWERS_PAUSE = 0.2
+#: Part of a drill's time for which the store is down; for the rest it lacks
+#: what operators and upstreams wrote.
+RESTORE_SHARE = 0.5
 #: What each caller may still send once all is mended, in seconds.
 CALM_SECONDS = 2.0
 KEPT_SEEDS = pathlib.Path(__file__).with_name("soak_seeds.txt")
@@ -173,6 +178,20 @@
             await asyncio.sleep(fault.length)
             store.delay_seconds = 0.0
 
+    async def _harm_store_copy(self, fault) -> None:
+        """Take the store down and bring it up as an older copy.
+
+        The operator and the upstreams write again what they wrote.
+        """
+        self._disturb_all(fault)
+        store = self._fleet.store
+        store.down = True
+        await asyncio.sleep(fault.length * RESTORE_SHARE)
+        store.restore_older(self._rng.uniform(*soak_plans.COPY_AGES))
+        store.down = False
+        await asyncio.sleep(fault.length * (1 - RESTORE_SHARE))
+        store.write_again()
+
     async def _harm_upstream(self, fault) -> None:
         name = self._pick_upstream(fault)
         worker = self._fleet.workers[name]
@@ -284,11 +303,24 @@
             found.append(f"{process.name} ended by itself with {status}")
     for window in fleet.cloud.conflicts:
         found.append(f"two reports for the window {window}")
+    found += list_shared_tokens(fleet.cloud.calls)
     found += soak_histories.check(fleet.history)
     report(seed, faults, fleet.history, found)
     return found
 
 
+def list_shared_tokens(calls: list[users_platforms.CloudCall]) -> list[str]:
+    """Return the fencing tokens under which two holders have acted."""
+    holders = collections.defaultdict(set)
+    for call in calls:
+        holders[call.fence].add(call.holder)
+    return [
+        f"token {fence} of {', '.join(sorted(names))}"
+        for fence, names in holders.items()
+        if len(names) > 1
+    ]
+
+
 def read_kept_seeds() -> list[int]:
     """Return the seeds that once broke a promise."""
     lines = KEPT_SEEDS.read_text().splitlines()
--- a/testbed/soak_fleets.py
+++ b/testbed/soak_fleets.py
@@ -149,6 +149,7 @@
         super().__init__(hosts=hosts, grace_seconds=GRACE_SECONDS)
         # Everything runs in the loop of the soak.
         self.loop.close()
+        self.store.era = 0
         self.history = soak_histories.History(
             workspace="shops", events=relay_fleets.EVENTS, seals={}
         )
--- a/testbed/soak_plans.py
+++ b/testbed/soak_plans.py
@@ -46,6 +46,11 @@
 #: Hosts of upstreams that lose power, drawn apart as well.
 DARK_GROUPS = (("upstream", ("goes dark",), 1),)
 DARK_PAUSES = (2.0, 8.0)
+#: Drills in which the store goes back to a copy, drawn apart as well.
+COPY_GROUPS = (("store copy", ("restore",), 1),)
+COPY_PAUSES = (2.0, 9.0)
+#: Age of the copies, in seconds.
+COPY_AGES = (0.5, 10.0)
 #: How long faults last, in seconds, and the time between their beginnings:
 #: shorter than they last, so that most overlap another one.
 LENGTHS = (0.4, 4.0)
@@ -95,6 +100,8 @@
     faults += _draw(announced, ANNOUNCED_GROUPS, ANNOUNCED_PAUSES, seconds)
     dark = random.Random(f"soak dark {seed}")
     faults += _draw(dark, DARK_GROUPS, DARK_PAUSES, seconds)
+    copies = random.Random(f"soak copies {seed}")
+    faults += _draw(copies, COPY_GROUPS, COPY_PAUSES, seconds)
     return sorted(faults, key=lambda it: it.start)
 
 
