Play a payment over a restored store with real processes

The stand-ins' copies are the state of the asked time, not an earlier one.

behave features/store_eras/processes.feature: 2 scenarios passed.

--- a/buckthornhold/standins/store_copies.py
+++ b/buckthornhold/standins/store_copies.py
@@ -42,16 +42,15 @@
             self._copies.pop(0)
 
     def find(self, age: float) -> dict:
-        """Return the newest copy of a state that is ``age`` seconds old."""
-        latest = self._clock() - age
-        found = None
+        """Return the state of ``age`` seconds ago, or the oldest copy.
+
+        That is the state before the first write since then.
+        """
+        since = self._clock() - age
         for taken_at, state in self._copies:
-            # A copy is the state up to the write that followed it.
-            if found is None or taken_at <= latest:
-                found = state
-        if found is None or self._copies[-1][0] <= latest:
-            return self.take()
-        return copy.deepcopy(found)
+            if taken_at >= since:
+                return copy.deepcopy(state)
+        return self.take()
 
     def clear(self) -> None:
         """Drop the copies, which are of an earlier era."""
