Serialise rewritten claims with a shard's groups

Two appends of one log at a time could replace an open segment that was sealed in between. A directory's first list of a new era has a version of it even if the list is the same.

A refused attempt that was written gives its place to the lost claim (claims.feature:22, which fails without that on a scratch copy).

--- a/buckthornhold/coordination/claim_writers.py
+++ b/buckthornhold/coordination/claim_writers.py
@@ -64,6 +64,8 @@
         self._report_error = report_error
         self._queue: list[_Operation] = []
         self._task: asyncio.Task | None = None
+        #: The log allows one append at a time.
+        self._lock = asyncio.Lock()
         self._tokens = WRITE_BURST
         self._tokens_updated_at = time.monotonic()
         self._store_backoff_until = 0.0
@@ -100,16 +102,19 @@
 
     async def rewrite_lost(self) -> bool:
         """Write what a restored store has lost; return whether it has all."""
-        for _ in range(MAX_COMMIT_ATTEMPTS):
+        for number in range(MAX_COMMIT_ATTEMPTS):
             await self._wait_for_write_token()
-            if await self._log.sync() is not None:
-                return False
-            lost = self._log.list_lost()
-            if not lost:
-                return True
-            self._tokens -= 1
-            await self._log.append(lost[:MAX_LOST_CLAIMS])
-            await asyncio.sleep(random.uniform(0, CONTENTION_BACKOFF_SECONDS))
+            async with self._lock:
+                if await self._log.sync() is not None:
+                    return False
+                lost = self._log.list_lost()
+                if not lost:
+                    return True
+                self._tokens -= 1
+                await self._log.append(lost[:MAX_LOST_CLAIMS])
+            await asyncio.sleep(
+                random.uniform(0, CONTENTION_BACKOFF_SECONDS * 2**number)
+            )
         return False
 
     async def close(self) -> None:
@@ -134,7 +139,8 @@
     async def _write_group(self, group: list[_Operation]) -> None:
         before = self._log.writes
         try:
-            await self._commit(group)
+            async with self._lock:
+                await self._commit(group)
         except Exception as error:
             self._report_error(error)
             self._fail_group(group, _make_failure(repr(error), uncertain=True))
--- a/buckthornhold/upstream_directories.py
+++ b/buckthornhold/upstream_directories.py
@@ -206,8 +206,13 @@
             self._store_back_at = self._clock()
 
     def begin_era(self, change: store_eras.EraChange) -> None:
-        """Give upstreams time to write what a restored store has lost."""
+        """Give upstreams time to write what a restored store has lost.
+
+        The next list has a version of the new era, so that lists of hosts
+        that haven't seen it are older.
+        """
         self._store_back_at = self._clock()
+        self._changed = True
 
     def apply_snapshot(self, change: stores.Change) -> None:
         """Apply all entries that the store has at a revision."""
--- a/features/steps/store_era_claim_steps.py
+++ b/features/steps/store_era_claim_steps.py
@@ -88,8 +88,9 @@
     assert writers.platform._era == 1
 
 
-def repeat(context):
+def repeat(context, *, is_slow=False):
     context.decisions = []
+    context.unrecorded = []
 
     async def run():
         for number in range(context.count, 0, -1):
@@ -106,21 +107,42 @@
                 if decision.ran is not reasons.Ran.NO:
                     # As callers of claims do before they say "not run".
                     context.uncertain.append(number)
-                    await claimer.abandon(claim)
+                    context.unrecorded.append((claimer, claim))
+                    if not is_slow:
+                        await claimer.abandon(claim)
 
     context.writers.run(run())
 
 
+async def tell_era(writers):
+    """Have all writers know the era, as hosts do when they probe."""
+    for store in writers.stores:
+        store.eras.learn(1)
+
+
 @behave.when("eras: each writer repeats these ids at once")
 def repeat_at_once(context):
     repeat(context)
+    context.writers.run(tell_era(context.writers))
+
 
-    async def tell():
-        # Hosts tell each other the era when they probe.
-        for store in context.writers.stores:
-            store.eras.learn(1)
+@behave.when(
+    "eras: each writer repeats these ids and is slow to record refusals"
+)
+def repeat_slowly(context):
+    repeat(context, is_slow=True)
+    assert context.unrecorded, "no refused attempt was written"
+    context.writers.run(tell_era(context.writers))
 
-    context.writers.run(tell())
+
+@behave.when("eras: claims were written again and the refusals are recorded")
+def record_refusals(context):
+    async def run():
+        await asyncio.sleep(REWRITE_SECONDS + 0.2)
+        for claimer, claim in context.unrecorded:
+            await claimer.abandon(claim)
+
+    context.writers.run(run())
 
 
 @behave.then("eras: no id was acquired twice")
--- a/features/store_eras/claims.feature
+++ b/features/store_eras/claims.feature
@@ -18,6 +18,16 @@
       | 2     | after  |
       | 3     | after  |
 
+  # The refused attempt is in the store when the lost claim is written again.
+  Scenario: A refused attempt that was written gives its place to the claim
+    Given eras: 2 claim writers of a store, and a copy of it
+    When eras: writer 1 claims ids and the store goes back after each write
+    And eras: each writer repeats these ids and is slow to record refusals
+    And eras: claims were written again and the refusals are recorded
+    And eras: each writer repeats these ids at once
+    Then eras: no id was acquired twice
+    And eras: each id that was acquired is held by its owner
+
   Scenario: An id that was made after the restoration is claimed at once
     Given eras: 2 claim writers of a store, and a copy of it
     When eras: the store goes back and ids are made after it
