Write orders of hosts again that a restored ledger has lost

An order that the ledger had lost was placed again under another id while its host started. The holder writes again what it wrote in the last 20 s.

--- a/buckthornhold/coordination/provisions.py
+++ b/buckthornhold/coordination/provisions.py
@@ -158,6 +158,19 @@
     return f"{PREFIX}{model}@{version}"
 
 
+def restore_provisions(
+    stored: tuple[Provision, ...], known: tuple[Provision, ...]
+) -> tuple[Provision, ...]:
+    """Return a restored ledger's provisions with those that were known.
+
+    What was known last counts. A provision that had been removed since the
+    copy stays; it is removed again by the host list.
+    """
+    latest = {provision.order_id: provision for provision in stored}
+    latest.update({provision.order_id: provision for provision in known})
+    return tuple(latest.values())
+
+
 async def read_ledger(
     store: stores.Store, key: str
 ) -> Ledger | reasons.Failure:
--- a/buckthornhold/provisioners.py
+++ b/buckthornhold/provisioners.py
@@ -17,8 +17,12 @@
 from buckthornhold.coordination import host_rankings
 from buckthornhold.coordination import leases
 from buckthornhold.coordination import provisions
+from buckthornhold.coordination import store_eras
 
 ROLE_RENEWALS_PER_TERM = 4
+#: A write of longer ago isn't lost: the copy is at most 10 s old, and the
+#: outage before it is brief.
+LOST_WRITE_SECONDS = 20.0
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -66,6 +70,8 @@
         self._keeper = keeper
         self._loader = engine_loaders.EngineLoader(host=host, keeper=keeper)
         self._watched: dict[tuple, Watched] = {}
+        #: The ledgers that this host wrote last, and when, by key.
+        self._ledgers: dict[str, tuple[float, provisions.Ledger]] = {}
         signals.rules_adopted.connect(self._take_rules, sender=host)
         self._refusals = start_refusals.StartRefusals(
             pause=config.provision_refusal_pause
@@ -130,7 +136,8 @@
             self._watched[rule.key] = watched
         listed = self._list_hosts(rule)
         await watched.demand.measure(self._list_engines(rule))
-        ledger = await self._settle(await self._read(rule), listed)
+        ledger = await self._restore(await self._read(rule))
+        ledger = await self._settle(ledger, listed)
         if isinstance(ledger, reasons.Failure):
             watched.wants = "the store"
             return
@@ -291,7 +298,33 @@
             return ledger
         if self._keeper.active_lease is None:
             return cloud_orders.fail_not_holder()
-        return await provisions.write_ledger(self._host.store, ledger, changed)
+        written = await provisions.write_ledger(
+            self._host.store, ledger, changed
+        )
+        if not isinstance(written, reasons.Failure):
+            self._ledgers[written.key] = (time.monotonic(), written)
+        return written
+
+    async def _restore(
+        self, ledger: provisions.Ledger | reasons.Failure
+    ) -> provisions.Ledger | reasons.Failure:
+        """Write again what a restored store has lost, before it is used.
+
+        An order that isn't written down would be placed again under another
+        id while its host starts.
+        """
+        if isinstance(ledger, reasons.Failure):
+            return ledger
+        written_at, known = self._ledgers.get(ledger.key, (0.0, ledger))
+        if (
+            time.monotonic() - written_at > LOST_WRITE_SECONDS
+            or store_eras.find_era(known.version) == self._host.eras.current
+        ):
+            return ledger
+        restored = provisions.restore_provisions(
+            ledger.provisions, known.provisions
+        )
+        return await self._write(ledger, restored)
 
     def _list_engines(self, rule: rules.CapacityRule) -> list:
         """Return the engines that serve a rule's version."""
