--- a/buckthornhold/counters.py
+++ b/buckthornhold/counters.py
@@ -26,11 +26,14 @@
     "broadcasts.pushed_whole",
     "callers.stalled",
     "hosts.paused",
+    "leases.era_ended",
+    "leases.eras_mixed",
     "leases.lapsed",
     "leases.renewals_failed",
     "leases.taken",
     "members.changed",
     "members.doubted",
+    "store.eras_changed",
     "streams.carried",
     "streams.handed_over",
     "streams.returned",
@@ -69,6 +72,7 @@
     "upstreams.cold",
     "upstreams.crashed",
     "upstreams.silent",
+    "usage.totals_replaced",
     "versions.withdrawn",
 )
 
--- a/buckthornhold/daemons.py
+++ b/buckthornhold/daemons.py
@@ -58,6 +58,7 @@
 from buckthornhold.coordination import pause_detectors
 from buckthornhold.coordination import revisions
 from buckthornhold.coordination import roles
+from buckthornhold.coordination import store_eras
 
 BACKGROUND_TIMEOUT = 1.0
 HAND_OVER_SECONDS = 2.0
@@ -110,6 +111,7 @@
             ),
             notify=self._take_member,
         )
+        self.eras = store_eras.make_eras(self)
         self.pauses = pause_detectors.PauseDetector(
             threshold=config.pause_threshold,
             refresh_timeout=config.refresh_timeout,
@@ -315,6 +317,7 @@
             session=session,
             address=address,
             timeout=self._settings.platform_timeout,
+            eras=self.eras,
         )
 
     def make_cloud(
--- a/buckthornhold/prefix_watchers.py
+++ b/buckthornhold/prefix_watchers.py
@@ -7,6 +7,8 @@
 from buckthornhold import reasons
 from buckthornhold import stores
 from buckthornhold import tasks
+from buckthornhold.coordination import era_watches
+from buckthornhold.coordination import store_eras
 
 #: Wait after a failed read. A change must be active about two seconds after
 #: the store accepted it, also on a host whose last call failed.
@@ -24,7 +26,8 @@
     returned changes, the next begins ``read_batch_seconds()`` later, so that
     many changes need few calls. Once the entries were read, the store is only
     called while ``should_read()`` is True. ``record_answer`` is called after
-    each answer of the store.
+    each answer of the store. When the store was restored, all entries are
+    read again.
     """
 
     def __init__(
@@ -57,6 +60,11 @@
         self._loaded = False
         self._reached = True
         self._last_answer_at = time.monotonic()
+        self._watch = era_watches.EraWatch(
+            store=store,
+            order=store_eras.Order.WATCHERS,
+            name=f"watch {prefix}",
+        )
 
     @property
     def reached(self) -> bool:
@@ -77,7 +85,7 @@
         self._loaded = True
         revision = listed.revision
         while not self.should_stop and self._should_read():
-            change = await self._store.watch(
+            change = await self._watch.watch(
                 self._prefix, after=revision, timeout=self._watch_seconds
             )
             if isinstance(change, reasons.Failure):
--- a/buckthornhold/relay_hosts.py
+++ b/buckthornhold/relay_hosts.py
@@ -55,6 +55,7 @@
 from buckthornhold.coordination import members
 from buckthornhold.coordination import pause_detectors
 from buckthornhold.coordination import poison_detectors
+from buckthornhold.coordination import store_eras
 from buckthornhold.peers import summaries_pb2
 from buckthornhold.scheduling import placements
 
@@ -109,6 +110,7 @@
             ),
             notify=self._handle_member_change,
         )
+        self.eras = store_eras.make_eras(self)
         self.pauses = pause_detectors.PauseDetector(
             threshold=config.pause_threshold,
             refresh_timeout=config.refresh_timeout,
@@ -216,7 +218,7 @@
         upstream_session = self._add_session(
             self._platform.make_upstream_session()
         )
-        self.store = self._platform.make_store(session, config)
+        self.store = self._platform.make_store(session, config, self.eras)
         self.upstream_client = self._platform.make_upstream_client(
             upstream_session, self.memory
         )
--- a/buckthornhold/relay_watchers.py
+++ b/buckthornhold/relay_watchers.py
@@ -23,6 +23,7 @@
 from buckthornhold import tasks
 from buckthornhold import upstream_directories
 from buckthornhold.coordination import broadcasts
+from buckthornhold.coordination import store_eras
 
 #: Topic of the operator's documents besides the configuration.
 ORDERS_TOPIC = "orders"
@@ -60,6 +61,9 @@
             read_age=store_age.read,
             logger=host.logger,
         )
+        host.eras.add_part(
+            store_eras.Order.DIRECTORY, "directory", host.directory.begin_era
+        )
         host.broadcasts.add_topic(
             ORDERS_TOPIC,
             read=self._make_orders_document,
@@ -128,11 +132,11 @@
         apply: Callable[[stores.Change], operator_documents.Update],
     ) -> None:
         """Apply the operator's changed documents; push the new ones."""
-        version = self._host.configurations.version
+        version = self._host.configurations.offered_version
         self._host.configurations.apply_change(change)
         update = apply(change)
         self._adopt_orders(update)
-        if self._host.configurations.version > version:
+        if self._host.configurations.offered_version > version:
             self._publish(configurations.TOPIC)
         if update:
             self._publish(ORDERS_TOPIC)
