Let a host whose only seed is itself use its places

Cause: a host that knows no other host and has seeds sends nothing to cold upstreams, as it has not joined yet. Its own address may be among the seeds, so a fleet of one host refused all requests while its upstreams were cold.

Change: the own address is left out. A scenario sends calls through a real relay host to cold upstreams.

Result: before, 60 of 60 calls got 503; now the scenario passes, with some calls run, the others refused with 503 and a Retry-After of 3 s or less.

--- a/buckthornhold/cold_upstreams.py
+++ b/buckthornhold/cold_upstreams.py
@@ -167,8 +167,11 @@
                 seconds=SILENT_SECONDS
             )
         ]
-        # A host that knows no other but has seeds has not joined yet.
-        alone = not others and not self._host.settings.seeds
+        # A host that knows no other but has seeds has not joined yet. Its own
+        # address may be among them.
+        config = self._host.settings
+        seeds = set(config.seeds) - {table.own.address}
+        alone = not others and not seeds
         return cold_starts.ZoneView(
             hosts=tuple(sorted(member.host for member in ready)),
             present=sum(
--- a/features/cold_upstreams/cold_upstreams.feature
+++ b/features/cold_upstreams/cold_upstreams.feature
@@ -69,6 +69,14 @@
     When cold: a new revision says that the first upstream is warm
     Then cold: 30 more requests that arrive at once are all sent
 
+  Scenario: A relay host refuses calls that find no place
+    Given cold: a relay host and two upstreams that are cold for 3 s
+    When cold: 60 calls arrive at once
+    Then cold: at most 23 were run by each upstream and the others got 503
+    And cold: the refused calls are to return within 3 s
+    When cold: the upstreams are warm again
+    Then cold: 60 calls that arrive at once are all run
+
   Scenario: Nothing is limited where the configuration has no cold rate
     Given cold: a host whose upstreams are cold for 2.5 and 4 seconds
     When cold: the configuration has no cold rate
--- a/features/steps/cold_upstreams_steps.py
+++ b/features/steps/cold_upstreams_steps.py
@@ -1,6 +1,7 @@
 """Steps on cold upstreams: simulated fleets, and one host's selection."""
 
 import asyncio
+import collections
 import time
 import types
 
@@ -20,6 +21,7 @@
 from buckthornhold.scheduling import cold_capacities
 from buckthornhold.scheduling import cold_starts
 from testbed import cold_fleets
+from testbed import relay_fleets
 
 STARTS_AT = 10.0
 COLD_SECONDS = 6.0
@@ -286,6 +288,79 @@
     )
 
 
+@behave.fixture
+def run_relay(context):
+    fleet = relay_fleets.RelayFleet(hosts=1)
+    fleet.start()
+    yield fleet
+    fleet.stop()
+
+
+def list_plain(fleet, cold_seconds):
+    for name, worker in fleet.workers.items():
+        if not worker.events:
+            fleet.list_worker(name, cold_seconds=cold_seconds)
+
+
+def send_calls(context, count):
+    """Send calls at once; return their statuses, counted."""
+
+    async def run():
+        sendings = [context.fleet.send("/pay/") for _ in range(count)]
+        return await asyncio.gather(*sendings)
+
+    context.answers = context.fleet.run(run())
+    return collections.Counter(it.status for it in context.answers)
+
+
+@behave.given(
+    "cold: a relay host and two upstreams that are cold for {seconds:g} s"
+)
+def start_relay(context, seconds):
+    context.fleet = behave.use_fixture(run_relay, context)
+    context.fleet.run(asyncio.sleep(cold_starts.SETTLE_SECONDS))
+    context.fleet.configure(cold_rate=cold_fleets.RATE)
+    list_plain(context.fleet, seconds)
+    context.fleet.run(asyncio.sleep(2 * cold_starts.PLACE_SECONDS))
+    list_plain(context.fleet, seconds)
+    context.fleet.run(asyncio.sleep(0.5))
+
+
+@behave.when("cold: {count:d} calls arrive at once")
+def send_many(context, count):
+    context.found = send_calls(context, count)
+
+
+@behave.then(
+    "cold: at most {most:d} were run by each upstream and the others got "
+    "{status:d}"
+)
+def check_run(context, most, status):
+    found = context.found
+    assert set(found) == {200, status}, found
+    assert 1 <= found[200] <= 2 * most, found
+
+
+@behave.then("cold: the refused calls are to return within {seconds:g} s")
+def check_return(context, seconds):
+    for answer in context.answers:
+        if answer.status == 503:
+            wait = float(answer.headers["Retry-After"])
+            assert 0 < wait <= seconds, answer.headers
+
+
+@behave.when("cold: the upstreams are warm again")
+def warm_up(context):
+    list_plain(context.fleet, 0.0)
+    context.fleet.run(asyncio.sleep(1.0))
+
+
+@behave.then("cold: {count:d} calls that arrive at once are all run")
+def check_all_run(context, count):
+    found = send_calls(context, count)
+    assert set(found) == {200}, found
+
+
 @behave.when("cold: the configuration has no cold rate")
 def drop_rate(context):
     context.bench.apply_rate(0.0)
--- a/testbed/relay_fleets.py
+++ b/testbed/relay_fleets.py
@@ -205,6 +205,7 @@
         state: str = "ready",
         version: str = "v1",
         born: int = 0,
+        cold_seconds: float = 0.0,
     ) -> None:
         """Write an upstream's entry to the store."""
         events = self.workers[name].events
@@ -217,7 +218,7 @@
                 "version": version,
                 "slots": 8,
                 "state": state,
-                "coldRemainingMs": 0,
+                "coldRemainingMs": 1000 * cold_seconds,
                 "sequence": 1,
                 "born": born,
             },
@@ -229,11 +230,13 @@
         keys=(API_KEY,),
         service=PLAIN_SERVICE,
         scale: dict | None = None,
+        cold_rate: float = 0.0,
         **limits,
     ):
         """Write a configuration with the next version number.
 
-        With ``scale``, upstreams of models can be ordered by these terms.
+        With ``scale``, upstreams of models can be ordered by these terms. Cold
+        upstreams of plain services bear ``cold_rate`` requests a second.
         """
         scaled = {"scale": scale} if scale else {}
         self.version += 3
@@ -265,7 +268,11 @@
                 "routes": routes,
                 "services": [
                     {"name": MODEL_SERVICE, "maxConnections": 50, **scaled},
-                    {"name": PLAIN_SERVICE, "maxConnections": 50},
+                    {
+                        "name": PLAIN_SERVICE,
+                        "maxConnections": 50,
+                        "coldPerS": cold_rate,
+                    },
                 ],
                 "tenants": [
                     {"name": "shops", "apiKeys": list(keys), **limits}
