Refuse invalid responses of upstreams on both interfaces

Cause: a status such as 000, 600 or an unrequested 101 was passed on as the response, on both interfaces. Calls of engines took a body without a length for whole that ended while their request was still being written. On the own interface a response that came before its request, or on an idle connection, was taken for the next request's.

Change: response_checks says what a valid response is. Statuses outside 100 to 599, 101, bytes before the request and a body without a length that ends by a reset or before its request was sent are errors with an unknown outcome; the connection is closed. Both interfaces close idle connections that received something.

--- a/buckthornhold/bodies.py
+++ b/buckthornhold/bodies.py
@@ -18,33 +18,6 @@
     """An answer is longer than may be held."""
 
 
-class BodyResetError(aiohttp.ClientError):
-    """The connection was reset in a body that ends with its connection."""
-
-
-class BodyEnd:
-    """Tells whether a body that ended is whole.
-
-    A body without a length ends with its connection; aiohttp takes a reset for
-    such an end, too. To be made before the body is read: the response drops
-    its connection at the end of it.
-    """
-
-    def __init__(self, response: aiohttp.ClientResponse) -> None:
-        self._protocol = response.connection and response.connection.protocol
-        self._has_length = (
-            "Content-Length" in response.headers
-            or "Transfer-Encoding" in response.headers
-        )
-
-    def check(self) -> None:
-        """Raise ``BodyResetError`` if the body was broken off."""
-        if self._has_length or self._protocol is None:
-            return
-        if isinstance(self._protocol.exception(), aiohttp.ClientOSError):
-            raise BodyResetError("connection reset in a body without a length")
-
-
 class Body:
     """The bytes of one answer that are held while it is read."""
 
--- a/buckthornhold/http_engines.py
+++ b/buckthornhold/http_engines.py
@@ -15,6 +15,7 @@
 from buckthornhold import engines
 from buckthornhold import memory_budgets
 from buckthornhold import reasons
+from buckthornhold import response_checks
 
 END_TIMEOUT_SECONDS = 0.05
 LEAVING = "leaving"
@@ -111,18 +112,22 @@
 
     async def _call(self, path: str, body: dict):
         limits = aiohttp.ClientTimeout(total=self._timeout)
+        upload = aiohttp.UploadTracker()
         try:
             async with self._session.post(
-                f"http://{self._address}{path}", json=body, timeout=limits
+                f"http://{self._address}{path}",
+                json=body,
+                timeout=limits,
+                upload_tracker=upload,
             ) as response:
                 self._announce(backoffs.read_announcement(response.headers))
                 if response.status != 200:
                     return self._describe_refusal(
                         response.status,
-                        await self._read_text(response),
+                        await self._read_text(response, upload),
                         response.headers.get("Retry-After"),
                     )
-                return json.loads(await self._read_text(response))
+                return json.loads(await self._read_text(response, upload))
         except (
             TimeoutError,
             aiohttp.ClientError,
@@ -136,9 +141,13 @@
                 reasons.Ran.UNKNOWN,
             )
 
-    async def _read_text(self, response: aiohttp.ClientResponse) -> str:
+    async def _read_text(
+        self, response: aiohttp.ClientResponse, upload: aiohttp.UploadTracker
+    ) -> str:
+        end = response_checks.ResponseEnd(response, upload=upload)
         with self._memory.hold_response() as hold:
             body = await bodies.read_body(response.content, hold=hold)
+        end.check()
         return body.decode(errors="replace")
 
     def _make_reader(
@@ -160,19 +169,21 @@
     ) -> engines.Last:
         limits = aiohttp.ClientTimeout(total=None, sock_connect=self._timeout)
         started = False
+        upload = aiohttp.UploadTracker()
         try:
             async with self._session.post(
                 f"http://{self._address}{path}",
                 json=body,
                 timeout=limits,
                 read_bufsize=engine_events.EVENT_LIMIT_BYTES,
+                upload_tracker=upload,
             ) as response:
                 started = True
                 self._announce(backoffs.read_announcement(response.headers))
                 if response.status != 200:
                     return self._describe_refusal(
                         response.status,
-                        await self._read_text(response),
+                        await self._read_text(response, upload),
                         response.headers.get("Retry-After"),
                     )
                 return await self._read_stream(response, reader, sink)
--- a/buckthornhold/platform/upstream_clients.py
+++ b/buckthornhold/platform/upstream_clients.py
@@ -17,6 +17,7 @@
 from buckthornhold import relay_messages
 from buckthornhold import relay_upstreams
 from buckthornhold import request_bodies
+from buckthornhold import response_checks
 from buckthornhold.platform import http_headers
 
 #: An upstream that runs accepts a connection within milliseconds, so after a
@@ -37,27 +38,13 @@
 EVENT_STREAM_TYPE = "text/event-stream"
 
 
-class UpstreamConnector(clients.Connector):
-    """Pools connections, but closes those that received unexpected bytes.
-
-    aiohttp checks for such bytes only when a connection returns to the pool;
-    a second response from an upstream may arrive later.
-    """
-
-    async def _get(self, key, traces):
-        while True:
-            connection = await super()._get(key, traces)
-            if connection is None or not connection.protocol.should_close:
-                return connection
-            connection.close()
-
-
 def make_session() -> aiohttp.ClientSession:
     """Return a session that sends each request once and reads raw bodies."""
     return aiohttp.ClientSession(
-        connector=UpstreamConnector(
+        connector=clients.Connector(
             limit=0, keepalive_timeout=KEEPALIVE_SECONDS
         ),
+        request_class=clients.Request,
         middlewares=(clients.forbid_repeats,),
         trace_configs=[clients.make_sent_trace()],
         auto_decompress=False,
@@ -78,12 +65,13 @@
         *,
         peer: str,
         hold: memory_budgets.Hold,
+        upload: aiohttp.UploadTracker,
     ) -> None:
         self._response = response
         self._peer = peer
         self._hold = hold
         self._event_body = bodies.Body(hold=hold, limit=MAX_EVENT_BYTES)
-        self._end = bodies.BodyEnd(response)
+        self._end = response_checks.ResponseEnd(response, upload=upload)
         self._buffer = b""
         self._complete = False
         self.headers = http_headers.filter_response_headers(response.headers)
@@ -186,6 +174,7 @@
         url = yarl.URL(
             f"http://{upstream.record.address}{message.target}", encoded=True
         )
+        upload = aiohttp.UploadTracker()
         try:
             response = await self._session.request(
                 message.method,
@@ -194,6 +183,7 @@
                 data=_make_body(message, request.body.data, fields),
                 allow_redirects=False,
                 trace_request_ctx=request.dispatch.mark_sent,
+                upload_tracker=upload,
             )
         except (
             aiohttp.ClientConnectorError,
@@ -212,7 +202,7 @@
                 reasons.Ran.UNKNOWN,
                 repr(error),
             )
-        return self._check_head(response, request, upstream)
+        return self._check_head(response, request, upstream, upload)
 
     def drop_idle(self, upstream) -> None:
         """Close the idle connections to an upstream."""
@@ -252,7 +242,7 @@
             fields[http_headers.LAST_EVENT_ID] = resume_after
         return fields
 
-    def _check_head(self, response, request, upstream):
+    def _check_head(self, response, request, upstream, upload):
         """Return the response, or a failure if it isn't this request's."""
         upstream.record_announcement(_read_announcement(response, upstream))
         request_id = request.contract.request_id
@@ -277,7 +267,10 @@
                 f"status {response.status}, not run",
             )
         return PlatformUpstreamResponse(
-            response, peer=upstream.name, hold=self._memory.open_response()
+            response,
+            peer=upstream.name,
+            hold=self._memory.open_response(),
+            upload=upload,
         )
 
 
--- a/buckthornhold/services.py
+++ b/buckthornhold/services.py
@@ -12,6 +12,7 @@
 from buckthornhold import clients
 from buckthornhold import memory_budgets
 from buckthornhold import reasons
+from buckthornhold import response_checks
 
 NOT_RUN_HEADER = "X-Not-Run"
 
@@ -105,6 +106,7 @@
         mark_sent: Callable[[], None] | None = None,
     ) -> Answer | reasons.Failure:
         """Send a call once and return the whole answer."""
+        upload = aiohttp.UploadTracker()
         try:
             async with self._session.request(
                 call.method,
@@ -117,11 +119,12 @@
                 },
                 allow_redirects=False,
                 trace_request_ctx=mark_sent,
+                upload_tracker=upload,
                 timeout=aiohttp.ClientTimeout(
                     total=timeout, sock_connect=self._connect_timeout
                 ),
             ) as response:
-                end = bodies.BodyEnd(response)
+                end = response_checks.ResponseEnd(response, upload=upload)
                 with self._memory.hold_response() as hold:
                     body = await bodies.read_body(response.content, hold=hold)
                 end.check()
