--- a/buckthornhold/coordination/claim_logs.py
+++ b/buckthornhold/coordination/claim_logs.py
@@ -140,14 +140,16 @@
             stored = self._stored.get(request_id)
             if claim.time <= self.floor or (
                 stored is not None
-                and not _supersedes(claim, stored)
-                and not is_other_attempt(claim, stored)
+                and not claim_records.supersedes(claim, stored)
+                and not claim_records.is_other_attempt(claim, stored)
             ):
                 continue
             if claim.outcome is not None and claim.outcome.body is None:
                 outcome = dataclasses.replace(claim.outcome, kept=False)
                 claim = claim.complete(outcome)
-            if stored is not None and is_other_attempt(claim, stored):
+            if stored is not None and claim_records.is_other_attempt(
+                claim, stored
+            ):
                 lost.append(claim_records.make_not_run(stored))
             lost.append(claim)
         if not lost:
@@ -352,10 +354,12 @@
             if self._stored is not None:
                 stripped = claim_records.strip_body(claim)
                 stored = self._stored.get(claim.request_id)
-                if stored is None or _supersedes(claim, stored):
+                if stored is None or claim_records.supersedes(claim, stored):
                     self._stored[claim.request_id] = stripped
             indexed = self._index.get(claim.request_id)
-            if indexed is None or _supersedes(claim, indexed.claim):
+            if indexed is None or claim_records.supersedes(
+                claim, indexed.claim
+            ):
                 self._index[claim.request_id] = _IndexEntry(
                     claim=claim_records.strip_body(claim),
                     segment=segment.number,
@@ -390,19 +394,3 @@
             for request_id, entry in self._index.items()
             if entry.claim.time > self._open.floor
         }
-
-
-def is_other_attempt(
-    known: claim_records.Claim, stored: claim_records.Claim
-) -> bool:
-    """Tell whether a store has another attempt that seems to run."""
-    return stored.change_id != known.change_id and stored.outcome is None
-
-
-def _supersedes(new: claim_records.Claim, old: claim_records.Claim) -> bool:
-    """Return whether a later claim in the log replaces an earlier one."""
-    if new.change_id == old.change_id:
-        return old.outcome is None and new.outcome is not None
-    if old.outcome is None:
-        return False
-    return old.outcome.kind is claim_records.OutcomeKind.NOT_RUN
--- a/buckthornhold/coordination/claim_records.py
+++ b/buckthornhold/coordination/claim_records.py
@@ -136,3 +136,17 @@
     if claim.outcome is None or claim.outcome.body is None:
         return claim
     return claim.complete(dataclasses.replace(claim.outcome, body=None))
+
+
+def is_other_attempt(known: Claim, stored: Claim) -> bool:
+    """Tell whether a store has another attempt that seems to run."""
+    return stored.change_id != known.change_id and stored.outcome is None
+
+
+def supersedes(new: Claim, old: Claim) -> bool:
+    """Return whether a later claim in the log replaces an earlier one."""
+    if new.change_id == old.change_id:
+        return old.outcome is None and new.outcome is not None
+    if old.outcome is None:
+        return False
+    return old.outcome.kind is OutcomeKind.NOT_RUN
--- a/buckthornhold/coordination/claim_writers.py
+++ b/buckthornhold/coordination/claim_writers.py
@@ -257,7 +257,7 @@
             return False
         if self._log.eras.age >= REWRITE_SECONDS:
             return False
-        return claim_logs.is_other_attempt(operation.claim, held)
+        return claim_records.is_other_attempt(operation.claim, held)
 
     async def _resolve_group(self, group, decisions) -> None:
         for operation, decision in zip(group, decisions, strict=True):
