--- a/buckthornhold/engine_speeds.py
+++ b/buckthornhold/engine_speeds.py
@@ -183,6 +183,10 @@
         """Learn from the time of a stream's first event."""
         self._first_event.learn(work.list_factors(), seconds)
 
+    def estimate_interval(self, running_requests: int) -> float:
+        """Return the seconds between two events of a stream."""
+        return self._interval.estimate((1.0, running_requests))
+
     def learn_interval(self, seconds: float, running_requests: int) -> None:
         """Learn from the mean time between two events of a stream."""
         self._interval.learn((1.0, running_requests), seconds)
--- /dev/null
+++ b/buckthornhold/paced_routers.py
@@ -0,0 +1,178 @@
+"""Paced routers: choice of the upstream by paces that all hosts learn.
+
+They replace the routers of ``relay_routers`` where ``scheduling.learned_paces``
+is set; the decisions are in ``scheduling``.
+"""
+
+from collections.abc import Callable
+import random
+import time
+import weakref
+
+from buckthornhold import engine_speeds
+from buckthornhold import relay_routers
+from buckthornhold.scheduling import choices
+from buckthornhold.scheduling import paces
+from buckthornhold.scheduling import spreads
+
+#: Transfer of a request and of its answer's first bytes to another zone and
+#: back, where 0.5 to 1.5 ms pass one way.
+ZONE_TRIP_SECONDS = 0.002
+#: Seconds that a full engine's load counts for: with it requests that are
+#: chosen for their first event don't pile up on few engines.
+LOAD_SECONDS = 0.3
+
+
+class PacedEngineRouter(relay_routers.RelayRouter):
+    """Chooses the engine of lowest expected time among a few."""
+
+    def __init__(
+        self,
+        *,
+        zone: str,
+        speeds: engine_speeds.EngineSpeeds,
+        joint_paces: paces.JointPaces,
+        clock: Callable[[], float] = time.monotonic,
+        draw: random.Random | None = None,
+    ) -> None:
+        super().__init__(zone=zone)
+        self._speeds = speeds
+        self._paces = joint_paces
+        self._clock = clock
+        self._draw = draw or random.Random()
+        self._choosers: dict[str, choices.EngineChooser] = {}
+        self._home: object = None
+
+    def choose(self, candidates, workload):
+        """Return the best of a few candidates and the prefix's home."""
+        service = candidates[0].record.service
+        chooser = self._choosers.get(service)
+        if chooser is None:
+            chooser = self._choosers[service] = choices.EngineChooser(
+                measure_capacity=self._measure_capacity,
+                clock=self._clock,
+                draw=self._draw,
+            )
+        options, self._home = chooser.list_options(candidates, workload.prefix)
+        costs = self.estimate_costs(options, workload)
+        return options[costs.index(min(costs))]
+
+    def estimate_costs(self, candidates, workload):
+        """Return the expected seconds of each candidate."""
+        speed = self._speeds.find_service(candidates[0].record.service)
+        costs = []
+        for candidate in candidates:
+            pace = self._find_pace(candidate)
+            tokens = candidate.waiting_tokens + workload.own_tokens
+            if candidate is not self._home:
+                tokens += workload.shared_tokens
+            token_seconds = speed.token_seconds * pace
+            cost = tokens * token_seconds
+            cost += candidate.estimate_remote_wait(token_seconds)
+            cost += LOAD_SECONDS * (candidate.load + 1) / candidate.slots
+            if candidate.load >= candidate.slots:
+                cost += pace * relay_routers.NO_SLOT_PENALTY_SECONDS
+            if candidate.record.zone != self._zone:
+                cost += ZONE_TRIP_SECONDS
+            costs.append(cost)
+        return costs
+
+    def estimate(self, upstream, workload):
+        """Return the work before the first event, and its time."""
+        cached = upstream is self._home
+        work = engine_speeds.FirstEventWork(
+            own_tokens=workload.own_tokens,
+            cached_tokens=workload.shared_tokens if cached else 0,
+            missing_tokens=0 if cached else workload.shared_tokens,
+            waiting_tokens=upstream.waiting_tokens,
+            running_requests=upstream.load,
+        )
+        speed = self._speeds.find_service(upstream.record.service)
+        pace = self._find_pace(upstream)
+        return relay_routers.Estimate(
+            seconds=speed.estimate_first_event(work) * pace,
+            work=work,
+            pace=pace,
+            load_share=upstream.load / upstream.slots,
+        )
+
+    def learn_first_event(self, upstream, estimate, seconds):
+        """Learn the speed of the service and the pace of the engine."""
+        speed = self._speeds.find_service(upstream.record.service)
+        expected = speed.estimate_first_event(estimate.work)
+        speed.learn_first_event(estimate.work, seconds)
+        if estimate.load_share < paces.NEARLY_FULL_SHARE:
+            self._paces.learn(
+                upstream.key,
+                seconds=seconds,
+                expected=expected,
+                weight=paces.FIRST_EVENT_WEIGHT,
+            )
+
+    def learn_interval(self, upstream, seconds):
+        """Learn the pace from the mean time between a stream's events."""
+        speed = self._speeds.find_service(upstream.record.service)
+        expected = speed.estimate_interval(upstream.load)
+        self._paces.learn(upstream.key, seconds=seconds, expected=expected)
+
+    def _find_pace(self, upstream) -> float:
+        return self._paces.find(upstream.record.service, upstream.key)
+
+    def _measure_capacity(self, upstream) -> float:
+        return upstream.slots / self._find_pace(upstream)
+
+
+class SpreadingRouter(relay_routers.RelayRouter):
+    """Spreads calls over plain upstreams by their capacity.
+
+    ``count_hosts`` returns the number of hosts in each zone.
+    """
+
+    def __init__(
+        self,
+        *,
+        zone: str,
+        count_hosts: Callable[[], dict[str, int]],
+        clock: Callable[[], float] = time.monotonic,
+        draw: random.Random | None = None,
+    ) -> None:
+        super().__init__(zone=zone)
+        self._count_hosts = count_hosts
+        self._clock = clock
+        self._draw = draw or random.Random()
+        self._means: weakref.WeakKeyDictionary = weakref.WeakKeyDictionary()
+
+    def choose(self, candidates, workload):
+        """Return a candidate, drawn in proportion to its weight."""
+        weights = self.estimate_costs(candidates, workload)
+        return self._draw.choices(candidates, weights)[0]
+
+    def estimate_costs(self, candidates, workload):
+        """Return the weight of each candidate."""
+        return spreads.weigh(
+            [
+                spreads.Option(
+                    zone=it.record.zone,
+                    slots=it.slots,
+                    own=it.in_flight,
+                    load=self._smooth_load(it),
+                )
+                for it in candidates
+            ],
+            zone=self._zone,
+            hosts=self._count_hosts(),
+            trip_seconds=ZONE_TRIP_SECONDS,
+        )
+
+    def _smooth_load(self, upstream) -> float:
+        mean = self._means.get(upstream)
+        if mean is None:
+            mean = self._means[upstream] = spreads.SmoothedLoad()
+        return mean.update(upstream.load, self._clock())
+
+    def estimate(self, upstream, workload):
+        """Return an estimate without a time."""
+        return relay_routers.Estimate()
+
+    def learn_first_event(self, upstream, estimate, seconds):
+        """Learn nothing: loads are counted."""
--- a/buckthornhold/relay_routers.py
+++ b/buckthornhold/relay_routers.py
@@ -53,11 +53,16 @@
     """What a router expects of a request on the upstream that it chose.
 
     ``seconds`` is the time to the first event and ``work`` what it depends
-    on; 0 and None where the router doesn't estimate it.
+    on; 0 and None where the router doesn't estimate it. ``pace`` is the
+    factor on the engine's times and ``load_share`` its load per slot, 0 where
+    they aren't known; ``saved_tokens`` are expected in its prefix cache.
     """
 
     seconds: float = 0.0
     work: engine_speeds.FirstEventWork | None = None
+    pace: float = 0.0
+    load_share: float = 0.0
+    saved_tokens: int = 0
 
 
 class RelayRouter(abc.ABC):
@@ -104,6 +109,15 @@
     ) -> None:
         """Learn from the time of a first event, for later estimates."""
 
+    def learn_interval(  # noqa: B027
+        self, upstream: relay_upstreams.RelayUpstream, seconds: float
+    ) -> None:
+        """Learn the upstream's pace from the time between two events.
+
+        Called before the service's speed learns from it; by default nothing
+        is learned.
+        """
+
 
 class LeastLoadedRouter(RelayRouter):
     """Chooses the least loaded upstream and prefers the local zone."""
--- a/buckthornhold/relay_upstreams.py
+++ b/buckthornhold/relay_upstreams.py
@@ -95,6 +95,11 @@
         """The upstream's name."""
         return self.record.name
 
+    @property
+    def slots(self) -> int:
+        """Requests that it runs at once."""
+        return max(1, self.record.slots)
+
     @property
     def load(self) -> int:
         """Requests in flight there, of all hosts with a recent summary."""
