Choose upstreams by paces that all hosts learn

Cause: a host learned an engine's pace alone, within 8 s and only beyond a factor of 1.8, all hosts chose the same plain upstream by late loads, and each choice refreshed and filtered all upstreams of all services. Change: scheduling.learned_paces enables routers that draw a few upstreams by capacity; paces are summed over all hosts in the summaries. Without a switch, list_service uses an index by service.

--- a/buckthornhold/backoffs.py
+++ b/buckthornhold/backoffs.py
@@ -120,6 +120,14 @@
             or in_flight < RAMP_START_REQUESTS * 2**steps
         )
 
+    def list_refusing(self, count_in_flight: Callable[[Key], int]) -> set[Key]:
+        """Return the upstreams to which no more request may be sent."""
+        return {
+            key
+            for key in self._backoffs
+            if not self.admits(key, count_in_flight(key))
+        }
+
     def find_wait(self, keys: Iterable[Key]) -> float:
         """Return the seconds until the first of some upstreams wants work.
 
--- a/buckthornhold/paced_routers.py
+++ b/buckthornhold/paced_routers.py
@@ -1,7 +1,7 @@
 """Paced routers: choice of the upstream by paces that all hosts learn.
 
-They replace the routers of ``relay_routers`` where ``scheduling.learned_paces``
-is set; the decisions are in ``scheduling``.
+They replace the routers of ``relay_routers`` where the setting
+``scheduling.learned_paces`` is set; the decisions are in ``scheduling``.
 """
 
 from collections.abc import Callable
@@ -10,6 +10,7 @@
 import weakref
 
 from buckthornhold import engine_speeds
+from buckthornhold import pace_exchanges
 from buckthornhold import relay_routers
 from buckthornhold.scheduling import choices
 from buckthornhold.scheduling import paces
@@ -18,9 +19,6 @@
 #: Transfer of a request and of its answer's first bytes to another zone and
 #: back, where 0.5 to 1.5 ms pass one way.
 ZONE_TRIP_SECONDS = 0.002
-#: Seconds that a full engine's load counts for: with it requests that are
-#: chosen for their first event don't pile up on few engines.
-LOAD_SECONDS = 0.3
 
 
 class PacedEngineRouter(relay_routers.RelayRouter):
@@ -69,7 +67,6 @@
             token_seconds = speed.token_seconds * pace
             cost = tokens * token_seconds
             cost += candidate.estimate_remote_wait(token_seconds)
-            cost += LOAD_SECONDS * (candidate.load + 1) / candidate.slots
             if candidate.load >= candidate.slots:
                 cost += pace * relay_routers.NO_SLOT_PENALTY_SECONDS
             if candidate.record.zone != self._zone:
@@ -94,6 +91,7 @@
             work=work,
             pace=pace,
             load_share=upstream.load / upstream.slots,
+            saved_tokens=workload.shared_tokens if cached else 0,
         )
 
     def learn_first_event(self, upstream, estimate, seconds):
@@ -167,7 +165,7 @@
     def _smooth_load(self, upstream) -> float:
         mean = self._means.get(upstream)
         if mean is None:
-            mean = self._means[upstream] = spreads.SmoothedLoad()
+            mean = self._means[upstream] = choices.SmoothedLoad()
         return mean.update(upstream.load, self._clock())
 
     def estimate(self, upstream, workload):
@@ -176,3 +174,34 @@
 
     def learn_first_event(self, upstream, estimate, seconds):
         """Learn nothing: loads are counted."""
+
+
+class PacedRouting:
+    """The paced routers of one host, and the exchange of the paces."""
+
+    def __init__(self, *, host) -> None:
+        self._host = host
+        zone = host.settings.zone
+        self._paces = paces.JointPaces(clock=time.monotonic)
+        self._exchange = pace_exchanges.PaceExchange(
+            host=host, joint_paces=self._paces
+        )
+        self._engine_router = PacedEngineRouter(
+            zone=zone, speeds=host.engine_speeds, joint_paces=self._paces
+        )
+        self._plain_router = SpreadingRouter(
+            zone=zone,
+            count_hosts=lambda: pace_exchanges.count_zone_hosts(host),
+        )
+
+    def find_router(self, *, is_engine: bool) -> relay_routers.RelayRouter:
+        """Return the router for engines or for plain upstreams."""
+        self._exchange.update(time.monotonic())
+        return self._engine_router if is_engine else self._plain_router
+
+
+def make_routing(host) -> PacedRouting | None:
+    """Return the paced routing of a host, None if it is switched off."""
+    if not host.settings.scheduling.learned_paces:
+        return None
+    return PacedRouting(host=host)
--- a/buckthornhold/relay_hosts.py
+++ b/buckthornhold/relay_hosts.py
@@ -29,6 +29,7 @@
 from buckthornhold import logs
 from buckthornhold import memory_budgets
 from buckthornhold import metrics
+from buckthornhold import paced_routers
 from buckthornhold import probes
 from buckthornhold import quotas
 from buckthornhold import reasons
@@ -169,6 +170,7 @@
         self._least_loaded_router = relay_routers.LeastLoadedRouter(
             zone=config.zone
         )
+        self._paced = paced_routers.make_routing(self)
 
     @property
     def settings(self) -> relay_settings.RelaySettings:
@@ -326,9 +328,10 @@
     def find_router(self, service: str) -> relay_routers.RelayRouter:
         """Return the router for the upstreams of a service."""
         service_record = self.configurations.current.services.get(service)
-        if service_record is not None and service_record.engine is not None:
-            return self._engine_router
-        return self._least_loaded_router
+        is_engine = service_record is not None and bool(service_record.engine)
+        if self._paced is not None:
+            return self._paced.find_router(is_engine=is_engine)
+        return self._engine_router if is_engine else self._least_loaded_router
 
     def record_retry(
         self, request: relay_messages.RelayRequest, failure: reasons.Failure
--- a/buckthornhold/relay_requests.py
+++ b/buckthornhold/relay_requests.py
@@ -257,7 +257,7 @@
             f"{outcome} after {now - started_at:.3f} s, first "
             f"{answered_at - started_at:.3f} s, "
             f"{relay.attempt_count} attempts, "
-            f"expected {relay.expected_seconds:.3f} s, "
+            f"{relay.expectation}, "
             f"ran {relay.ran.value}, "
             f"{'client disconnected, ' if request.dispatch.abandoned else ''}"
             f"content {request.content}, "
--- a/buckthornhold/relay_routers.py
+++ b/buckthornhold/relay_routers.py
@@ -148,7 +148,8 @@
     ) -> None:
         super().__init__(zone=zone)
         self._speeds = speeds
-        self._ring = hash_rings.HashRing()
+        #: For each service the candidates that its ring was built from.
+        self._rings: dict[str, tuple[object, hash_rings.HashRing]] = {}
         #: Engine that the ring assigned to the prefix of the last request.
         self._prefix_engine: str | None = None
 
@@ -197,5 +198,9 @@
         """Return the engine that the ring assigns to the prefix, if any."""
         if not workload.prefix:
             return None
-        self._ring.update(candidate.name for candidate in candidates)
-        return next(iter(self._ring.rank(workload.prefix)), None)
+        service = candidates[0].record.service
+        members, ring = self._rings.get(service, (None, hash_rings.HashRing()))
+        if members is not candidates:
+            ring.update(candidate.name for candidate in candidates)
+            self._rings[service] = (candidates, ring)
+        return next(iter(ring.rank(workload.prefix)), None)
--- a/buckthornhold/relay_selectors.py
+++ b/buckthornhold/relay_selectors.py
@@ -37,9 +37,16 @@
         self._estimate = relay_routers.Estimate()
 
     @property
-    def expected_seconds(self) -> float:
-        """Time to the first event that the router estimated."""
-        return self._estimate.seconds
+    def expectation(self) -> str:
+        """What the router expected, for the request's log line."""
+        expected = f"expected {self._estimate.seconds:.3f} s"
+        if self._estimate.pace:
+            expected += (
+                f" at pace {self._estimate.pace:.2f} and load "
+                f"{self._estimate.load_share:.2f} with "
+                f"{self._estimate.saved_tokens} tokens cached"
+            )
+        return expected
 
     def learn_first_event(
         self, upstream: relay_upstreams.RelayUpstream, seconds: float
@@ -54,6 +61,8 @@
     ) -> None:
         """Learn from the mean time between a stream's events."""
         if seconds > 0:
+            router = self._host.find_router(self._request.service)
+            router.learn_interval(upstream, seconds)
             self._find_speed().learn_interval(seconds, upstream.load)
 
     def learn_length(self, events: int) -> None:
@@ -109,11 +118,13 @@
                 is_retry=is_retry,
             )
             candidates = choice.upstreams
-            untried = [
-                upstream
-                for upstream in candidates
-                if upstream.key not in self._tried
-            ]
+            untried = candidates
+            if self._tried:
+                untried = [
+                    upstream
+                    for upstream in candidates
+                    if upstream.key not in self._tried
+                ]
             if untried:
                 self.series = choice.series
                 return self._choose(untried)
--- a/buckthornhold/relay_upstreams.py
+++ b/buckthornhold/relay_upstreams.py
@@ -6,6 +6,7 @@
 import time
 
 from buckthornhold import backoffs
+from buckthornhold import service_indexes
 from buckthornhold import upstream_directories
 from buckthornhold.coordination import pause_detectors
 from buckthornhold.peers import summaries_pb2
@@ -14,10 +15,6 @@
 OUTCOME_HALF_LIFE_SECONDS = 4.0
 #: Weight of outcomes below which an upstream's failures are not judged.
 MIN_OUTCOMES = 4.0
-#: An upstream is excluded if the failed share of its requests exceeds this
-#: one and exceeds the median share of the service's upstreams by this factor.
-MIN_EXCLUDED_FAILED_SHARE = 0.25
-EXCLUDED_FAILED_FACTOR = 2.5
 #: An upstream that has sent nothing for this long while requests are in flight
 #: is excluded, since a cut connection reports no error. A busy engine sends
 #: events of some stream all the time; a plain call has 0.6 s in all.
@@ -60,7 +57,8 @@
 
     ``in_flight`` counts this host's requests there; ``waiting_tokens`` sums
     the prompt tokens of those that have had no event yet. ``notify`` is called
-    with what the upstream announces of itself.
+    with what the upstream announces of itself, ``watch`` when it may become
+    silent or is paused, and ``note_outcomes`` after each outcome.
     """
 
     def __init__(
@@ -68,9 +66,13 @@
         *,
         record: upstream_directories.UpstreamRecord,
         notify: Callable = lambda upstream, announcement: None,
+        watch: Callable = lambda upstream: None,
+        note_outcomes: Callable = lambda upstream: None,
     ) -> None:
         self.record = record
         self._notify = notify
+        self._watch = watch
+        self._note_outcomes = note_outcomes
         self.in_flight = 0
         self.waiting_tokens = 0
         self.leaving = record.leaving
@@ -146,6 +148,7 @@
         """Count a request sent to the upstream, with its prompt's tokens."""
         if not self.in_flight:
             self._last_activity_at = time.monotonic()
+            self._watch(self)
         self.in_flight += 1
         self.waiting_tokens += prompt_tokens
 
@@ -176,10 +179,12 @@
         self.ended_total += 1
         self.failed_total += failed
         self.outcomes.add(time.monotonic(), ended=1, failed=failed)
+        self._note_outcomes(self)
 
     def pause(self, seconds: float) -> None:
         """Exclude the upstream for this long."""
         self.paused_until = max(self.paused_until, time.monotonic() + seconds)
+        self._watch(self)
 
 
 class RelayUpstreams:
@@ -188,6 +193,9 @@
     def __init__(self, *, host) -> None:
         self._host = host
         self._upstreams: dict[tuple[str, int], RelayUpstream] = {}
+        self._index = service_indexes.ServiceIndex()
+        #: Generation of the directory that was read last.
+        self._generation = -1
         self._leaving_names: dict[str, float] = {}
         self._totals: dict[tuple[str, int, str], tuple[int, int]] = {}
         self._announced_at = -math.inf
@@ -206,36 +214,35 @@
         Silent and failing ones are excluded unless none would be left, those
         that want no requests in any case.
         """
-        self.refresh()
+        if self._host.directory.generation != self._generation:
+            self.refresh()
         now = time.monotonic()
-        active = [
-            upstream
-            for upstream in self._upstreams.values()
-            if upstream.record.service == service
-            and not upstream.leaving
-            and self._backoffs.admits(upstream.key, upstream.in_flight)
-        ]
-        healthy = [
-            upstream
-            for upstream in active
-            if upstream.paused_until <= now and not upstream.is_silent(now)
-        ]
-        return exclude_failing(healthy) or healthy or active
+        active = self._list_allowed(service)
+        return self._index.exclude_unhealthy(active, now) or active
+
+    def _list_allowed(self, service: str) -> list[RelayUpstream]:
+        """Return the upstreams that may get requests by their own state.
+
+        Every filter by a record or by what an upstream says of itself is
+        applied here, and only here. A list from which nothing is removed is
+        returned as it is, since routers recognize it.
+        """
+        staying = self._index.list_staying(service)
+        refusing = self._backoffs.list_refusing(
+            lambda key: (
+                self._upstreams[key].in_flight if key in self._upstreams else 0
+            )
+        )
+        if refusing:
+            return [it for it in staying if it.key not in refusing]
+        return staying
 
     def find_retry_wait(self, service: str) -> float:
         """Return the seconds until an upstream of the service may be used.
 
         0 unless every one is excluded because requests were abandoned there.
         """
-        now = time.monotonic()
-        return min(
-            (
-                upstream.find_retry_wait(now)
-                for upstream in self._upstreams.values()
-                if upstream.record.service == service and not upstream.leaving
-            ),
-            default=0.0,
-        )
+        return self._index.find_retry_wait(service, time.monotonic())
 
     def find_backoff_wait(self, service: str) -> float:
         """Return the seconds until an upstream of the service wants requests.
@@ -243,13 +250,8 @@
         0 unless upstreams are known and every one is leaving or has asked for
         no more requests.
         """
-        known = [
-            upstream
-            for upstream in self._upstreams.values()
-            if upstream.record.service == service
-        ]
-        staying = [upstream for upstream in known if not upstream.leaving]
-        if not known or any(
+        staying = self._index.list_staying(service)
+        if not self._index.list_known(service) or any(
             self._backoffs.admits(upstream.key, upstream.in_flight)
             for upstream in staying
         ):
@@ -260,12 +262,16 @@
     def refresh(self) -> None:
         """Update the upstreams from the directory's records."""
         listed = set()
+        self._generation = self._host.directory.generation
         for record in self._host.directory.list_records():
             listed.add(record.key)
             upstream = self._upstreams.get(record.key)
             if upstream is None:
                 upstream = RelayUpstream(
-                    record=record, notify=self._take_announcement
+                    record=record,
+                    notify=self._take_announcement,
+                    watch=self._index.watch,
+                    note_outcomes=self._index.note_outcomes,
                 )
                 self._upstreams[record.key] = upstream
             if record.leaving:
@@ -278,6 +284,7 @@
                 del self._upstreams[key]
                 self._drop_totals(upstream.name)
                 self._host.engine_speeds.forget(key)
+        self._index.rebuild(self._upstreams.values())
 
     def apply_summary(self, summary: summaries_pb2.Summary) -> None:
         """Apply another host's outcomes and leaving upstreams."""
@@ -294,6 +301,7 @@
             upstream.outcomes.add(
                 now, ended=load.ended - ended, failed=load.failed - failed
             )
+            self._index.note_outcomes(upstream)
         for upstream in self._upstreams.values():
             if make_process_name(upstream) in leaving:
                 self._mark_leaving(upstream, summary.host)
@@ -351,6 +359,7 @@
         if upstream.leaving:
             return
         upstream.leaving = True
+        self._index.rebuild(self._upstreams.values())
         self._host.logger.bind(step="upstreams", peer=upstream.name).info(
             f"upstream is leaving by {source}, "
             f"{upstream.in_flight} requests in flight"
@@ -378,21 +387,3 @@
 def make_process_name(upstream: RelayUpstream) -> str:
     """Return the name of an upstream's process, as summaries use it."""
     return f"{upstream.name}/{upstream.record.started_at}"
-
-
-def exclude_failing(upstreams: list[RelayUpstream]) -> list[RelayUpstream]:
-    """Return the upstreams without those that fail more than the others."""
-    if len(upstreams) < 2:
-        return upstreams
-    shares = sorted(upstream.outcomes.failed_share for upstream in upstreams)
-    median = shares[(len(shares) - 1) // 2]
-    limit = max(MIN_EXCLUDED_FAILED_SHARE, median * EXCLUDED_FAILED_FACTOR)
-    healthy = [
-        upstream
-        for upstream in upstreams
-        if upstream.outcomes.failed_share <= limit
-    ]
-    # If most of them fail, the cause lies elsewhere.
-    if len(healthy) < math.ceil(len(upstreams) / 2):
-        return upstreams
-    return healthy
--- a/buckthornhold/relays.py
+++ b/buckthornhold/relays.py
@@ -68,9 +68,9 @@
         self.first_event_at: float | None = None
 
     @property
-    def expected_seconds(self) -> float:
-        """Time to the first event that the router estimated."""
-        return self._selector.expected_seconds
+    def expectation(self) -> str:
+        """What the router expected, for the request's log line."""
+        return self._selector.expectation
 
     @property
     def ran(self) -> reasons.Ran:
--- a/buckthornhold/scheduling/choices.py
+++ b/buckthornhold/scheduling/choices.py
@@ -13,15 +13,23 @@
 import itertools
 import math
 import random
+import statistics
 import typing
+import weakref
 
 from buckthornhold import hash_rings
 
-#: Engines that are drawn for a choice. Two leave a p99 of the first event far
-#: above that of complete knowledge, more send bursts to the same engine.
-DRAWN_ENGINES = 4
-#: How long weights and means are used before they are computed anew.
-TABLE_SECONDS = 1.0
+#: Engines that are drawn for a choice. More send bursts to the same engines,
+#: as loads are known late.
+DRAWN_ENGINES = 2
+#: How long weights and means are used before they are computed anew, in all
+#: and for each engine: that takes 4 ms for 600 engines, and a host of a large
+#: fleet has only some ten choices a second.
+TABLE_SECONDS = 2.0
+TABLE_SECONDS_PER_ENGINE = 0.01
+#: How long the homes of prefixes are kept while the engines are the same.
+#: Their capacities change slowly, and each change moves prefixes.
+HOMES_SECONDS = 10.0
 #: Draws for each upstream that is wanted, before a table is given up because
 #: most of its upstreams are excluded.
 DRAWS_PER_MEMBER = 4
@@ -29,7 +37,25 @@
 #: of the mean (consistent hashing with bounded loads), plus some requests,
 #: as small loads vary more.
 HOME_LOAD_FACTOR = 1.25
+HOME_MEAN_FACTOR = 1.0
+HOME_MEAN_RANGE = 0.6
 HOME_SPARE_REQUESTS = 2.0
+#: Engines that are slower than the median by more than this factor get less
+#: than their capacity's part, as waits there are longer. What the others get
+#: in addition is bounded.
+TILT_FROM_FACTOR = 1.1
+TILT_EXPONENTS = (3.0, 2.5, 2.0, 1.75, 1.5, 1.25, 1.0, 0.5)
+MAX_TILT_SHARE = 1.1
+#: Mean load per slot from which on all of the capacity is needed.
+NO_TILT_LOAD = 0.7
+#: Time constant of mean loads, and the requests that loads are raised by
+#: before they are compared: the noise of small loads must not move the weights
+#: of all hosts at once.
+SMOOTHING_SECONDS = 10.0
+PRIOR_REQUESTS = 2.0
+#: Power of the ratio of the usual and the mean load by which weights are
+#: corrected. With 1 the hosts' common correction overshoots.
+CORRECTION_EXPONENT = 0.5
 #: Homes that are looked at before a prefix is read anew elsewhere.
 MAX_HOMES = 3
 #: Positions on the ring of an engine of median capacity. An engine's number
@@ -54,20 +80,20 @@
 
 
 class Table:
-    """Members of a choice with their capacities."""
+    """Members of a choice with their capacities and weights for draws."""
 
     def __init__(
-        self, members: Sequence[Member], capacities: Sequence[float]
+        self,
+        members: Sequence[Member],
+        capacities: Sequence[float],
+        weights: Sequence[float],
     ) -> None:
         self.members = members
         self.capacities = capacities
-        self._sums = list(itertools.accumulate(capacities))
-        slots = sum(member.slots for member in members)
-        loads = sum(member.load for member in members)
-        self.mean_load = loads / max(1, slots)
+        self._sums = list(itertools.accumulate(weights))
 
     def draw(self, count: int, draw: random.Random) -> list[Member]:
-        """Return distinct members, drawn in proportion to capacity.
+        """Return distinct members, drawn in proportion to their weights.
 
         Fewer if the same ones are drawn again and again.
         """
@@ -80,11 +106,50 @@
             member = self.members[min(place, last)]
             if member not in found:
                 found.append(member)
-                if len(found) == count:
+                if len(found) >= count:
                     break
         return found
 
 
+class SmoothedLoad:
+    """Mean of a load that is read now and then."""
+
+    def __init__(self) -> None:
+        self.value = 0.0
+        self._read_at = -math.inf
+
+    def update(self, load: float, now: float) -> float:
+        """Take the load of this moment; return the mean."""
+        passed = now - self._read_at
+        weight = 1.0 - math.exp(-passed / SMOOTHING_SECONDS)
+        self.value += weight * (load - self.value)
+        self._read_at = now
+        return self.value
+
+
+def tilt_capacities(
+    capacities: Sequence[float], slots: Sequence[int]
+) -> list[float]:
+    """Return weights that leave slow engines less than their part.
+
+    No other engine gets more than MAX_TILT_SHARE of its own part.
+    """
+    rates = [
+        capacity / count
+        for capacity, count in zip(capacities, slots, strict=True)
+    ]
+    limit = statistics.median(rates) / TILT_FROM_FACTOR
+    total = sum(capacities)
+    for exponent in TILT_EXPONENTS:
+        weights = [
+            capacity * min(1.0, rate / limit) ** exponent
+            for capacity, rate in zip(capacities, rates, strict=True)
+        ]
+        if total <= MAX_TILT_SHARE * sum(weights):
+            return weights
+    return list(capacities)
+
+
 class Homes:
     """The homes of prefixes: a ring on which capacity is the share."""
 
@@ -92,6 +157,11 @@
         self._ring = hash_rings.HashRing()
         self._by_name: dict[str, Member] = {}
 
+    @property
+    def count(self) -> int:
+        """Number of members."""
+        return len(self._by_name)
+
     def update(self, table: Table) -> None:
         """Take over members and capacities; costs what they change."""
         middle = sorted(table.capacities)[len(table.capacities) // 2]
@@ -111,7 +181,7 @@
             member = self._by_name[copy.rpartition(" ")[0]]
             if member not in found:
                 found.append(member)
-                if len(found) == count:
+                if len(found) >= count:
                     break
         return found
 
@@ -134,18 +204,27 @@
         self._draw = draw
         self._table: Table | None = None
         self._homes = Homes()
+        self._loads: weakref.WeakKeyDictionary[Member, SmoothedLoad] = (
+            weakref.WeakKeyDictionary()
+        )
+        self._mean_load = 0.0
+        self._homes_built_at = -math.inf
         self._built_at = -math.inf
 
-    @property
-    def mean_load(self) -> float:
-        """Mean load per slot, as of the last table."""
-        return self._table.mean_load if self._table is not None else 0.0
+    def has_room(self, member: Member) -> bool:
+        """Tell whether a home has room for one more request.
 
-    def is_bounded(self, member: Member) -> bool:
-        """Tell whether a home has room for one more request."""
-        bound = HOME_LOAD_FACTOR * self.mean_load * member.slots
+        Neither its mean load of some seconds nor that of the moment may be
+        far above the engines' mean.
+        """
+        mean = self._loads.get(member)
+        usual = self._mean_load * member.slots
         return (
-            member.load < bound + HOME_SPARE_REQUESTS
+            mean is not None
+            and mean.value
+            <= (HOME_MEAN_FACTOR + HOME_MEAN_RANGE * self._draw.random())
+            * usual
+            and member.load < HOME_LOAD_FACTOR * usual + HOME_SPARE_REQUESTS
             and member.load < member.slots
         )
 
@@ -153,20 +232,19 @@
         self, candidates: Sequence[Member], prefix: str
     ) -> tuple[list[Member], Member | None]:
         """Return a few candidates, and the prefix's home if it has room."""
+        count = DRAWN_ENGINES
         table = self._find_table(candidates)
         whole = candidates is table.members
         allowed = () if whole else set(candidates)
-        options = table.draw(DRAWN_ENGINES, self._draw)
+        options = table.draw(count, self._draw)
         if not whole:
             options = [it for it in options if it in allowed]
             if not options:
-                options = self._make_table(candidates).draw(
-                    DRAWN_ENGINES, self._draw
-                )
+                options = self._make_table(candidates).draw(count, self._draw)
         home = None
         if prefix:
             for member in self._homes.list_homes(prefix, MAX_HOMES):
-                if (whole or member in allowed) and self.is_bounded(member):
+                if (whole or member in allowed) and self.has_room(member):
                     home = member
                     break
         if home is not None and home not in options:
@@ -180,18 +258,45 @@
         """
         if (
             self._table is None
-            or self._clock() - self._built_at >= TABLE_SECONDS
+            or len(candidates) > len(self._table.members)
+            or self._clock() - self._built_at
+            >= TABLE_SECONDS + TABLE_SECONDS_PER_ENGINE * len(candidates)
         ):
             return self._build(candidates)
         return self._table
 
     def _make_table(self, candidates: Sequence[Member]) -> Table:
-        return Table(
-            candidates, [self._measure_capacity(it) for it in candidates]
-        )
+        slots = [member.slots for member in candidates]
+        capacities = [self._measure_capacity(it) for it in candidates]
+        means = [
+            self._loads.setdefault(it, SmoothedLoad()).value
+            for it in candidates
+        ]
+        self._mean_load = sum(means) / sum(slots)
+        if self._mean_load < NO_TILT_LOAD:
+            capacities = tilt_capacities(capacities, slots)
+        prior = PRIOR_REQUESTS
+        usual = self._mean_load
+        weights = [
+            capacity
+            * ((usual * count + prior) / (mean + prior)) ** CORRECTION_EXPONENT
+            for capacity, count, mean in zip(
+                capacities, slots, means, strict=True
+            )
+        ]
+        return Table(candidates, capacities, weights)
 
     def _build(self, candidates: Sequence[Member]) -> Table:
+        now = self._clock()
+        for member in candidates:
+            mean = self._loads.setdefault(member, SmoothedLoad())
+            mean.update(member.load, now)
         self._table = self._make_table(candidates)
-        self._homes.update(self._table)
-        self._built_at = self._clock()
+        if (
+            now - self._homes_built_at >= HOMES_SECONDS
+            or len(candidates) != self._homes.count
+        ):
+            self._homes.update(self._table)
+            self._homes_built_at = now
+        self._built_at = now
         return self._table
--- a/buckthornhold/scheduling/paces.py
+++ b/buckthornhold/scheduling/paces.py
@@ -9,17 +9,20 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Container
 from collections.abc import Iterable
+from collections.abc import Iterator
+from collections.abc import Mapping
 import dataclasses
 import math
 import statistics
 
 #: Half-life of observations. The engines of a service get several requests a
 #: second from all hosts together, so this holds some 50 for each.
-HALF_LIFE_SECONDS = 10.0
+HALF_LIFE_SECONDS = 20.0
 #: Observations that the service's median counts for: a new engine has the
 #: median pace, and a single slow stream changes it by an eighth at most.
-PRIOR_WEIGHT = 8.0
+PRIOR_WEIGHT = 2.0
 #: Limits of one observation; a longer time is an interruption.
 MAX_RATIO = 4.0
 #: Weight of a first event beside that of a mean interval between events: it
@@ -41,20 +44,13 @@
 Key = tuple[str, int]
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Observations:
-    """Weight of observations and weighted sum of the logarithms of ratios."""
-
-    weight: float = 0.0
-    total: float = 0.0
-    at: float = 0.0
-
-    def decay(self, now: float) -> "Observations":
-        """Return what they count for at a later time."""
-        factor = 0.5 ** (max(0.0, now - self.at) / HALF_LIFE_SECONDS)
-        return Observations(
-            weight=self.weight * factor, total=self.total * factor, at=now
-        )
+#: Interval between two changes of the scale in which weights are kept; they
+#: grow by a factor of two in a half-life.
+RESCALE_SECONDS = 600.0
+
+#: Weight of observations and weighted sum of the logarithms of ratios.
+Observations = tuple[float, float]
+NONE: Observations = (0.0, 0.0)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -70,11 +66,14 @@
 class JointPaces:
     """The paces of all engines, from this host's and others' observations.
 
-    ``clock`` returns monotonic seconds.
+    Internally observations are weighted by how late they are (forward
+    decay), so that only what changes has to be computed. ``clock`` returns
+    monotonic seconds.
     """
 
     def __init__(self, *, clock: Callable[[], float]) -> None:
         self._clock = clock
+        self._base = clock()
         self._own: dict[Key, Observations] = {}
         self._others: dict[Key, Observations] = {}
         self._medians: dict[str, float] = {}
@@ -94,28 +93,27 @@
             return
         limit = math.log(MAX_RATIO)
         logarithm = min(limit, max(-limit, math.log(seconds / expected)))
-        known = self._own.get(engine, Observations()).decay(self._clock())
-        self._own[engine] = dataclasses.replace(
-            known,
-            weight=known.weight + weight,
-            total=known.total + weight * logarithm,
-        )
+        weight *= self._compute_scale()
+        known, total = self._own.get(engine, NONE)
+        self._own[engine] = (known + weight, total + weight * logarithm)
 
     def set_others(
-        self, engine: Key, *, weight: float, total: float, age: float
+        self, observed: Mapping[Key, Observations], *, age: float
     ) -> None:
-        """Replace what the other hosts observed of an engine."""
-        self._others[engine] = Observations(
-            weight=weight, total=total, at=self._clock() - age
-        )
-
-    def read_own(self, engine: Key) -> Observations | None:
-        """Return this host's observations, None if they are too few."""
-        known = self._own.get(engine)
-        if known is None:
-            return None
-        known = known.decay(self._clock())
-        return known if known.weight >= MIN_REPORTED_WEIGHT else None
+        """Replace what the other hosts observed, ``age`` seconds ago."""
+        scale = self._compute_scale(age)
+        self._others = {
+            engine: (weight * scale, total * scale)
+            for engine, (weight, total) in observed.items()
+        }
+
+    def list_own(self) -> Iterator[tuple[Key, Observations]]:
+        """Yield this host's observations that are enough to be reported."""
+        scale = self._compute_scale()
+        least = MIN_REPORTED_WEIGHT * scale
+        for engine, (weight, total) in self._own.items():
+            if weight >= least:
+                yield engine, (weight / scale, total / scale)
 
     def find(self, service: str, engine: Key) -> float:
         """Return the factor on an engine's times as of the last update.
@@ -133,26 +131,33 @@
 
     def update(self, service: str, engines: Iterable[Key]) -> list[Judgement]:
         """Compute the paces of a service's engines; return new judgements."""
-        now = self._clock()
-        sums = {engine: self._add_up(engine, now) for engine in engines}
+        scale = self._compute_scale()
+        sums = {}
+        for engine in engines:
+            weight, total = self._own.get(engine, NONE)
+            other_weight, other_total = self._others.get(engine, NONE)
+            sums[engine] = (
+                (weight + other_weight) / scale,
+                (total + other_total) / scale,
+            )
         median = self._medians[service] = statistics.median(
             [
-                it.total / it.weight
-                for it in sums.values()
-                if it.weight >= MIN_JUDGED_WEIGHT
+                total / weight
+                for weight, total in sums.values()
+                if weight >= MIN_JUDGED_WEIGHT
             ]
             or [0.0]
         )
         judgements = []
-        for engine, known in sums.items():
-            logarithm = (known.total + PRIOR_WEIGHT * median) / (
-                known.weight + PRIOR_WEIGHT
+        for engine, (weight, total) in sums.items():
+            logarithm = (total + PRIOR_WEIGHT * median) / (
+                weight + PRIOR_WEIGHT
             )
             self._paces[engine] = math.exp(logarithm)
             factor = math.exp(logarithm - median)
             slow = engine in self._slow
             limit = NORMAL_FACTOR if slow else SLOW_FACTOR
-            if known.weight < MIN_JUDGED_WEIGHT or (factor > limit) == slow:
+            if weight < MIN_JUDGED_WEIGHT or (factor > limit) == slow:
                 continue
             self._slow ^= {engine}
             judgements.append(
@@ -160,23 +165,26 @@
                     engine=engine,
                     slow=not slow,
                     factor=factor,
-                    weight=known.weight,
+                    weight=weight,
                 )
             )
         return judgements
 
-    def forget(self, engine: Key) -> None:
-        """Forget an engine that is gone."""
-        self._own.pop(engine, None)
-        self._others.pop(engine, None)
-        self._paces.pop(engine, None)
-        self._slow.discard(engine)
-
-    def _add_up(self, engine: Key, now: float) -> Observations:
-        own = self._own.get(engine, Observations()).decay(now)
-        others = self._others.get(engine, Observations()).decay(now)
-        return Observations(
-            weight=own.weight + others.weight,
-            total=own.total + others.total,
-            at=now,
-        )
+    def retain(self, engines: Container[Key]) -> None:
+        """Forget all engines but these."""
+        for known in (self._own, self._others, self._paces):
+            for engine in [it for it in known if it not in engines]:
+                del known[engine]
+        self._slow = {it for it in self._slow if it in engines}
+
+    def _compute_scale(self, age: float = 0.0) -> float:
+        """Return the internal weight of an observation of some age."""
+        passed = self._clock() - self._base
+        if passed > RESCALE_SECONDS:
+            factor = 0.5 ** (passed / HALF_LIFE_SECONDS)
+            for known in (self._own, self._others):
+                for engine, (weight, total) in known.items():
+                    known[engine] = (weight * factor, total * factor)
+            self._base += passed
+            passed = 0.0
+        return 2.0 ** ((passed - age) / HALF_LIFE_SECONDS)
--- a/buckthornhold/scheduling/spreads.py
+++ b/buckthornhold/scheduling/spreads.py
@@ -9,14 +9,9 @@
 
 from collections.abc import Sequence
 import dataclasses
-import math
-
-#: Time constant of mean loads. Loads are known 0.5 to 2 s late, and the mean
-#: of ten seconds of a load of one or two requests is known to a fifth.
-SMOOTHING_SECONDS = 10.0
-#: Requests that each mean load is raised by before loads are compared: the
-#: noise of small loads must not move the weights of all hosts.
-PRIOR_REQUESTS = 2.0
+
+from buckthornhold.scheduling import choices
+
 #: What a refusal by a full upstream costs: the call is late for a target of
 #: some 0.2 s, as the upstream is excluded and others get its calls.
 REFUSAL_SECONDS = 0.2
@@ -39,22 +34,6 @@
     load: float
 
 
-class SmoothedLoad:
-    """Mean of a load that is read now and then."""
-
-    def __init__(self) -> None:
-        self._mean = 0.0
-        self._read_at = -math.inf
-
-    def update(self, load: float, now: float) -> float:
-        """Take the load of this moment; return the mean."""
-        passed = now - self._read_at
-        weight = 1.0 - math.exp(-passed / SMOOTHING_SECONDS)
-        self._mean += weight * (load - self._mean)
-        self._read_at = now
-        return self._mean
-
-
 def weigh(
     options: Sequence[Option],
     *,
@@ -71,12 +50,14 @@
         options, zone=zone, hosts=hosts, trip_seconds=trip_seconds
     )
     slots = sum(option.slots for option in options)
-    mean = sum(option.load + PRIOR_REQUESTS for option in options) / slots
+    mean = (
+        sum(option.load + choices.PRIOR_REQUESTS for option in options) / slots
+    )
     return [
         weight
         * mean
         * option.slots
-        / (option.load + PRIOR_REQUESTS)
+        / (option.load + choices.PRIOR_REQUESTS)
         * OWN_REQUEST_FACTOR ** (option.own / option.slots * len(options))
         for weight, option in zip(weights, options, strict=True)
     ]
--- /dev/null
+++ b/buckthornhold/service_indexes.py
@@ -0,0 +1,103 @@
+"""Service indexes: the upstreams of each service, kept between changes.
+
+A request only looks at the few upstreams that may be excluded at the moment:
+those with requests in flight, those that were paused and those with many
+failed requests. All others are listed without being asked.
+"""
+
+from collections.abc import Iterable
+import math
+
+#: An upstream is excluded if the failed share of its requests exceeds this
+#: one and exceeds the median share of the service's upstreams by this factor.
+MIN_EXCLUDED_FAILED_SHARE = 0.25
+EXCLUDED_FAILED_FACTOR = 2.5
+
+
+class ServiceIndex:
+    """Lists of upstreams by service, and those that need to be looked at."""
+
+    def __init__(self) -> None:
+        self._known: dict[str, list] = {}
+        self._staying: dict[str, list] = {}
+        #: Upstreams with requests in flight or a pause.
+        self._watched: set = set()
+        #: Upstreams that may have to be excluded for failed requests.
+        self._failing: set = set()
+
+    def rebuild(self, upstreams: Iterable) -> None:
+        """Index all upstreams anew, after one came, left or is leaving."""
+        known: dict[str, list] = {}
+        for upstream in upstreams:
+            known.setdefault(upstream.record.service, []).append(upstream)
+        self._known = known
+        self._staying = {
+            service: [it for it in members if not it.leaving]
+            for service, members in known.items()
+        }
+        listed = {it for members in known.values() for it in members}
+        self._watched &= listed
+        self._failing &= listed
+
+    def watch(self, upstream) -> None:
+        """Look at an upstream's pause and silence for a while."""
+        self._watched.add(upstream)
+
+    def note_outcomes(self, upstream) -> None:
+        """Record that an upstream's outcomes have changed.
+
+        Only a share above the minimum can exclude one.
+        """
+        if upstream.outcomes.failed_share > MIN_EXCLUDED_FAILED_SHARE:
+            self._failing.add(upstream)
+        else:
+            self._failing.discard(upstream)
+
+    def list_known(self, service: str) -> list:
+        """Return a service's upstreams, leaving ones included."""
+        return self._known.get(service, [])
+
+    def list_staying(self, service: str) -> list:
+        """Return a service's upstreams that aren't leaving.
+
+        The same list until one of them changes; not to be modified.
+        """
+        return self._staying.get(service, [])
+
+    def find_retry_wait(self, service: str, now: float) -> float:
+        """Return the seconds until one is no longer excluded for silence."""
+        staying = self.list_staying(service)
+        if len(staying) > len(self._watched):
+            return 0.0
+        return min((it.find_retry_wait(now) for it in staying), default=0.0)
+
+    def exclude_unhealthy(self, upstreams: list, now: float) -> list:
+        """Return the upstreams without paused, silent and failing ones."""
+        excluded = set()
+        for upstream in list(self._watched):
+            if upstream.paused_until > now or upstream.is_silent(now):
+                excluded.add(upstream)
+            elif not upstream.in_flight:
+                self._watched.discard(upstream)
+        healthy = upstreams
+        if excluded:
+            healthy = [it for it in upstreams if it not in excluded]
+        return exclude_failing(healthy) if self._failing else healthy
+
+
+def exclude_failing(upstreams: list) -> list:
+    """Return the upstreams without those that fail more than the others."""
+    if len(upstreams) < 2:
+        return upstreams
+    shares = sorted(upstream.outcomes.failed_share for upstream in upstreams)
+    median = shares[(len(shares) - 1) // 2]
+    limit = max(MIN_EXCLUDED_FAILED_SHARE, median * EXCLUDED_FAILED_FACTOR)
+    healthy = [
+        upstream
+        for upstream in upstreams
+        if upstream.outcomes.failed_share <= limit
+    ]
+    # If most of them fail, the cause lies elsewhere.
+    if len(healthy) < math.ceil(len(upstreams) / 2):
+        return upstreams
+    return healthy
--- a/buckthornhold/summary_aggregates.py
+++ b/buckthornhold/summary_aggregates.py
@@ -175,16 +175,27 @@
     """Add the parts' current state: loads, demands, leaving upstreams."""
     requests: collections.Counter[str] = collections.Counter()
     tokens: collections.Counter[str] = collections.Counter()
+    pace_weights: collections.Counter[str] = collections.Counter()
+    pace_sums: collections.Counter[str] = collections.Counter()
     demands: collections.Counter[str] = collections.Counter()
     leaving = set()
     for part in parts:
         for load in part.loads:
             requests[load.upstream] += load.requests
             tokens[load.upstream] += load.tokens
+            if load.pace_weight:
+                pace_weights[load.upstream] += load.pace_weight
+                pace_sums[load.upstream] += load.pace_sum
         demands.update(part.demands)
         leaving.update(part.leaving)
     for name, count in requests.items():
-        total.loads.add(upstream=name, requests=count, tokens=tokens[name])
+        total.loads.add(
+            upstream=name,
+            requests=count,
+            tokens=tokens[name],
+            pace_weight=pace_weights[name],
+            pace_sum=pace_sums[name],
+        )
     total.demands.update(demands)
     total.leaving.extend(sorted(leaving))
 
@@ -260,6 +271,7 @@
             continue
         load.requests = max(0, load.requests - own.requests)
         load.tokens = max(0, load.tokens - own.tokens)
+        subtract_pace(load, own)
         # The two totals have different bases, so the result may be below
         # zero. Receivers only use its increase.
         load.ended -= own.ended
@@ -279,6 +291,21 @@
     total.hosts = max(0, total.hosts - 1)
 
 
+def subtract_pace(
+    load: summaries_pb2.UpstreamLoad, own: summaries_pb2.UpstreamLoad
+) -> None:
+    """Subtract one host's observations of an engine's pace.
+
+    A collector of a build without them leaves them out of its aggregate; then
+    none are left.
+    """
+    if load.pace_weight <= own.pace_weight:
+        load.pace_weight = load.pace_sum = 0
+        return
+    load.pace_weight -= own.pace_weight
+    load.pace_sum -= own.pace_sum
+
+
 def read_tallies(summary: summaries_pb2.Summary) -> evidence.Tallies:
     """Return the evidence on moves in a summary."""
     return {
--- a/buckthornhold/upstream_directories.py
+++ b/buckthornhold/upstream_directories.py
@@ -126,6 +126,9 @@
         self._changed = False
         self._loaded = False
         self._store_down = False
+        self._generation = 0
+        #: When the next missing entry may have to be removed.
+        self._next_removal_at = math.inf
         self._updated_at = -math.inf
         self._store_back_at = -return_seconds
 
@@ -142,6 +145,13 @@
         """
         return self._version
 
+    @property
+    def generation(self) -> int:
+        """Number that rises whenever ``list_records`` may have changed."""
+        if self._next_removal_at <= self._clock():
+            self._remove_expired()
+        return self._generation
+
     @property
     def should_ask_peers(self) -> bool:
         """Whether peers may have newer entries than this host.
@@ -220,6 +230,7 @@
             if change.deleted:
                 latest = change.revision
             self._revision = max(self._revision, latest)
+        self._generation += 1
         self._remove_expired()
         self._update_version()
         self._notify()
@@ -287,6 +298,7 @@
             and now < self._store_back_at + self._return_seconds
         ):
             entry.remove_at = self._store_back_at + self._return_seconds
+        self._next_removal_at = min(self._next_removal_at, entry.remove_at)
         if entry.record is not None:
             self._logger.bind(step="directory", peer=name).info(
                 "is no longer listed, will be removed in "
@@ -304,6 +316,15 @@
             entry = self._entries.pop(name)
             self._removed[name] = (entry.revision, now)
             self._changed |= entry.record is not None
+        self._generation += len(expired)
+        self._next_removal_at = min(
+            (
+                entry.remove_at
+                for entry in self._entries.values()
+                if entry.remove_at is not None
+            ),
+            default=math.inf,
+        )
         for name, (_, removed_at) in list(self._removed.items()):
             if removed_at < now - REMOVED_RETENTION_SECONDS:
                 del self._removed[name]
--- a/features/steps/relay_upstreams_steps.py
+++ b/features/steps/relay_upstreams_steps.py
@@ -32,7 +32,9 @@
         self.sources = []
         host = types.SimpleNamespace(
             logger=logs.bind(host="h", zone=own_zone),
-            directory=types.SimpleNamespace(list_records=lambda: records),
+            directory=types.SimpleNamespace(
+                list_records=lambda: records, generation=0
+            ),
             summaries=types.SimpleNamespace(
                 add_source=self.sources.append,
                 publish=lambda: None,
