--- a/buckthornhold/scheduling/choices.py
+++ b/buckthornhold/scheduling/choices.py
@@ -38,24 +38,26 @@
 #: as small loads vary more.
 HOME_LOAD_FACTOR = 1.25
 HOME_MEAN_FACTOR = 1.0
-HOME_MEAN_RANGE = 0.6
+HOME_MEAN_RANGE = 0.4
 HOME_SPARE_REQUESTS = 2.0
 #: Engines that are slower than the median by more than this factor get less
 #: than their capacity's part, as waits there are longer. What the others get
 #: in addition is bounded.
 TILT_FROM_FACTOR = 1.1
 TILT_EXPONENTS = (3.0, 2.5, 2.0, 1.75, 1.5, 1.25, 1.0, 0.5)
-MAX_TILT_SHARE = 1.1
+MAX_TILT_SHARE = 1.04
 #: Mean load per slot from which on all of the capacity is needed.
 NO_TILT_LOAD = 0.7
 #: Time constant of mean loads, and the requests that loads are raised by
 #: before they are compared: the noise of small loads must not move the weights
 #: of all hosts at once.
 SMOOTHING_SECONDS = 10.0
-PRIOR_REQUESTS = 2.0
+PRIOR_REQUESTS = 1.0
 #: Power of the ratio of the usual and the mean load by which weights are
-#: corrected. With 1 the hosts' common correction overshoots.
-CORRECTION_EXPONENT = 0.5
+#: corrected, for each unit of mean load per slot and at most: with little load
+#: an uneven one costs nothing and fast engines answer sooner.
+CORRECTION_PER_LOAD = 4.3
+MAX_CORRECTION = 1.5
 #: Homes that are looked at before a prefix is read anew elsewhere.
 MAX_HOMES = 3
 #: Positions on the ring of an engine of median capacity. An engine's number
@@ -277,9 +279,9 @@
             capacities = tilt_capacities(capacities, slots)
         prior = PRIOR_REQUESTS
         usual = self._mean_load
+        correction = min(MAX_CORRECTION, CORRECTION_PER_LOAD * usual)
         weights = [
-            capacity
-            * ((usual * count + prior) / (mean + prior)) ** CORRECTION_EXPONENT
+            capacity * ((usual * count + prior) / (mean + prior)) ** correction
             for capacity, count, mean in zip(
                 capacities, slots, means, strict=True
             )
--- a/buckthornhold/scheduling/spreads.py
+++ b/buckthornhold/scheduling/spreads.py
@@ -10,8 +10,9 @@
 from collections.abc import Sequence
 import dataclasses
 
-from buckthornhold.scheduling import choices
-
+#: Requests that mean loads are raised by before they are compared: noise of
+#: small loads must not move the weights of all hosts at once.
+PRIOR_REQUESTS = 2.0
 #: What a refusal by a full upstream costs: the call is late for a target of
 #: some 0.2 s, as the upstream is excluded and others get its calls.
 REFUSAL_SECONDS = 0.2
@@ -50,14 +51,12 @@
         options, zone=zone, hosts=hosts, trip_seconds=trip_seconds
     )
     slots = sum(option.slots for option in options)
-    mean = (
-        sum(option.load + choices.PRIOR_REQUESTS for option in options) / slots
-    )
+    mean = sum(option.load + PRIOR_REQUESTS for option in options) / slots
     return [
         weight
         * mean
         * option.slots
-        / (option.load + choices.PRIOR_REQUESTS)
+        / (option.load + PRIOR_REQUESTS)
         * OWN_REQUEST_FACTOR ** (option.own / option.slots * len(options))
         for weight, option in zip(weights, options, strict=True)
     ]
--- a/buckthornhold/tools/meanings.py
+++ b/buckthornhold/tools/meanings.py
@@ -202,6 +202,8 @@
     "members.changed": "Changes of what is known of an entry host.",
     "members.doubted": "Entry hosts that came into doubt.",
     "relays.repeated": "Relayed requests that were sent again.",
+    "paces.normal": "Engines whose pace was judged normal again.",
+    "paces.slow": "Engines whose pace was judged slow.",
     "summaries.malformed": "Summaries that were ignored: a bad figure.",
     "summaries.unsent": "Summaries that another host did not take.",
     "reads.joined": "Calls that waited for an equal one under way.",
