Bound the weights of busy upstreams, write down uneven upstreams

Cause: with very many own requests all weights of plain upstreams would become 0, and each call counted the members of all zones.

--- a/buckthornhold/pace_exchanges.py
+++ b/buckthornhold/pace_exchanges.py
@@ -27,6 +27,8 @@
         self._host = host
         self._paces = joint_paces
         self._updated_at = -math.inf
+        #: Number of hosts in each zone, this one included.
+        self.zone_hosts: dict[str, int] = {}
         host.summaries.add_source(self._fill_summary)
 
     def update(self, now: float) -> None:
@@ -34,6 +36,7 @@
         if now - self._updated_at < UPDATE_SECONDS:
             return
         self._updated_at = now
+        self.zone_hosts = count_zone_hosts(self._host)
         by_name = {it.name: it.key for it in self._host.upstreams.list_all()}
         summed: dict[paces.Key, paces.Observations] = {}
         delay = self._host.summaries.aggregation_delay_seconds
--- a/buckthornhold/paced_routers.py
+++ b/buckthornhold/paced_routers.py
@@ -251,7 +251,7 @@
         )
         self._plain_router = SpreadingRouter(
             zone=zone,
-            count_hosts=lambda: pace_exchanges.count_zone_hosts(host),
+            count_hosts=lambda: self._exchange.zone_hosts,
         )
 
     def _make_savings(self) -> PrefixSavings | None:
--- a/buckthornhold/scheduling/spreads.py
+++ b/buckthornhold/scheduling/spreads.py
@@ -20,6 +20,8 @@
 LOAD_STEPS = 20
 #: Part of a weight that is left for each own request per slot.
 OWN_REQUEST_FACTOR = 0.25
+#: Bounds the exponent, so that not all weights become 0 under overload.
+MAX_OWN_EXPONENT = 20.0
 #: Least part of the weight by capacity for upstreams in other zones, so that
 #: their loads are known.
 MIN_WEIGHT_SHARE = 0.02
@@ -57,7 +59,8 @@
         * mean
         * option.slots
         / (option.load + PRIOR_REQUESTS)
-        * OWN_REQUEST_FACTOR ** (option.own / option.slots * len(options))
+        * OWN_REQUEST_FACTOR
+        ** min(MAX_OWN_EXPONENT, option.own / option.slots * len(options))
         for weight, option in zip(weights, options, strict=True)
     ]
 
--- a/features/routing/uneven_upstreams.feature
+++ b/features/routing/uneven_upstreams.feature
@@ -47,7 +47,7 @@
 
   # Guards against a memory of prefixes that an engine has evicted.
   Scenario: The least recently used prefix is forgotten first
-    Given uneven: prefixes a, b and a again are sent to an engine for two
+    Given uneven: an engine for two is sent prefixes a, b and a again
     When uneven: prefix c is sent there
     Then uneven: it holds a and c and not b
 
