--- a/features/steps/uneven_upstreams_steps.py
+++ b/features/steps/uneven_upstreams_steps.py
@@ -196,9 +196,7 @@
     assert figures["saving"]["read_again"] <= limit, figures
 
 
-@behave.given(
-    "uneven: prefixes a, b and a again are sent to an engine for two"
-)
+@behave.given("uneven: an engine for two is sent prefixes a, b and a again")
 def send_prefixes(context):
     context.sent = prefix_homes.SentPrefixes()
     for prefix in "aba":
