Never choose an engine that left, name the counters of paces

Cause: homes were kept while the number of engines was the same, so one that another replaced stayed a home for up to 10 s. The counters paces.slow and paces.normal weren't listed, which raised KeyError in the request path. Change: homes follow each change of the members, and a home must be among the candidates; the counters are listed. Measured: the new scenario failed before each of the two fixes and passes now (behave features/routing/uneven_upstreams.feature -n left).

--- a/buckthornhold/counters.py
+++ b/buckthornhold/counters.py
@@ -58,6 +58,8 @@
     "provisions.ordered",
     "provisions.refused",
     "provisions.released",
+    "paces.slow",
+    "paces.normal",
     "moves.running",
     "moves.done",
     "moves.taken_back",
--- a/buckthornhold/scheduling/choices.py
+++ b/buckthornhold/scheduling/choices.py
@@ -92,6 +92,7 @@
         weights: Sequence[float],
     ) -> None:
         self.members = members
+        self.member_set = set(members)
         self.capacities = capacities
         self._sums = list(itertools.accumulate(weights))
 
@@ -159,16 +160,13 @@
     def __init__(self) -> None:
         self._ring = hash_rings.HashRing()
         self._by_name: dict[str, Member] = {}
-
-    @property
-    def count(self) -> int:
-        """Number of members."""
-        return len(self._by_name)
+        self.members: set[Member] = set()
 
     def update(self, table: Table) -> None:
         """Take over members and capacities; costs what they change."""
         middle = sorted(table.capacities)[len(table.capacities) // 2]
         names = []
+        self.members = table.member_set
         self._by_name = {member.name: member for member in table.members}
         for member, capacity in zip(
             table.members, table.capacities, strict=True
@@ -246,7 +244,7 @@
         """
         table = self._find_table(candidates)
         whole = candidates is table.members
-        allowed = () if whole else set(candidates)
+        allowed = table.member_set if whole else set(candidates)
         options = table.draw(DRAWN_ENGINES, self._draw)
         if not whole:
             options = [it for it in options if it in allowed]
@@ -257,16 +255,14 @@
         found: list[Member] = []
         if prefix:
             for member in self._homes.list_homes(prefix, MAX_HOMES + homes):
-                if (whole or member in allowed) and self.has_room(member):
+                if member in allowed and self.has_room(member):
                     found.append(member)
                     if len(found) >= homes:
                         break
         found += [
             it
             for it in holders
-            if it not in found
-            and (whole or it in allowed)
-            and self.has_room(it)
+            if it not in found and it in allowed and self.has_room(it)
         ]
         options += [it for it in found if it not in options]
         return options, found
@@ -314,7 +310,7 @@
         self._table = self._make_table(candidates)
         if (
             now - self._homes_built_at >= HOMES_SECONDS
-            or len(candidates) != self._homes.count
+            or self._table.member_set != self._homes.members
         ):
             self._homes.update(self._table)
             self._homes_built_at = now
--- a/features/routing/uneven_upstreams.feature
+++ b/features/routing/uneven_upstreams.feature
@@ -55,3 +55,10 @@
   Scenario: A prefix in high demand gets more homes and loses them
     Given uneven: half of 100 requests share a prefix
     Then uneven: it has several homes, and one 2 minutes later
+
+  # Guards against homes that outlive a release: one engine leaves as another
+  # comes, so that their number stays the same.
+  Scenario: An engine that left is never chosen
+    Given uneven: a paced router that knows the homes of 12 engines
+    Then uneven: it never chooses an engine that another one replaced
+    And uneven: the counters know the judgements of paces
--- a/features/steps/uneven_upstreams_steps.py
+++ b/features/steps/uneven_upstreams_steps.py
@@ -4,7 +4,13 @@
 
 import behave
 
+from buckthornhold import counters
+from buckthornhold import engine_speeds
+from buckthornhold import paced_routers
+from buckthornhold import relay_routers
+from buckthornhold import relay_upstreams
 from buckthornhold import summary_aggregates
+from buckthornhold import upstream_directories
 from buckthornhold.peers import summaries_pb2
 from buckthornhold.scheduling import paces
 from buckthornhold.scheduling import prefix_homes
@@ -230,3 +236,49 @@
     for number in range(100):
         context.demands.add(f"q{number}")
     assert context.demands.count_homes("hot", 36) == 1
+
+
+@behave.given(
+    "uneven: a paced router that knows the homes of {count:d} engines"
+)
+def make_router(context, count):
+    context.now = 0.0
+    context.router = paced_routers.PacedEngineRouter(
+        zone="a",
+        speeds=engine_speeds.EngineSpeeds(),
+        joint_paces=paces.JointPaces(clock=lambda: context.now),
+        clock=lambda: context.now,
+    )
+    context.members = [make_engine(number) for number in range(count)]
+    choose_for_prefixes(context)
+
+
+def make_engine(number):
+    record = upstream_directories.UpstreamRecord(
+        name=f"e{number}", service="s", address="", zone="a", slots=8
+    )
+    return relay_upstreams.RelayUpstream(record=record)
+
+
+def choose_for_prefixes(context):
+    for number in range(200):
+        work = relay_routers.Workload(
+            prefix=f"p{number}", shared_tokens=900, own_tokens=90
+        )
+        chosen = context.router.choose(context.members, work)
+        assert chosen in context.members, chosen.name
+
+
+@behave.then("uneven: it never chooses an engine that another one replaced")
+def check_replaced(context):
+    for number, seconds in ((100, 0.0), (101, 3.0), (102, 3.0)):
+        context.now += seconds
+        context.members = [*context.members[1:], make_engine(number)]
+        choose_for_prefixes(context)
+
+
+@behave.then("uneven: the counters know the judgements of paces")
+def check_counters(context):
+    real = counters.Counters(address=None, prefix="")
+    for name in ("paces.slow", "paces.normal"):
+        real.count_event(name)
