--- a/features/relays/directories.feature
+++ b/features/relays/directories.feature
@@ -106,3 +106,8 @@
       | 18    | 31    | 0.7     |
       | 63    | 53    | 1.3     |
       | 390   | 325   | 1.3     |
+
+  # Guards against requests to an upstream that the directory no longer lists:
+  # nothing but the directory's generation tells the index of a change.
+  Scenario: Leaving and expired entries are no longer listed for requests
+    Then directory: an index by service lists what the directory lists
--- a/features/steps/relay_directory_steps.py
+++ b/features/steps/relay_directory_steps.py
@@ -1,11 +1,14 @@
 """Steps on upstream directories and configurations, without a network."""
 
 import json
+import types
 
 import behave
 
 from buckthornhold import configurations
+from buckthornhold import engine_speeds
 from buckthornhold import logs
+from buckthornhold import relay_upstreams
 from buckthornhold import routes
 from buckthornhold import stores
 from buckthornhold import upstream_directories
@@ -294,3 +297,36 @@
 @behave.then("directory: no peer is asked")
 def check_no_queries(context):
     assert context.peer_queries == 0
+
+
+@behave.then("directory: an index by service lists what the directory lists")
+def check_index(context):
+    bench = DirectoryBench()
+    host = types.SimpleNamespace(
+        logger=logs.bind(host="h", zone="a"),
+        directory=bench.directory,
+        summaries=types.SimpleNamespace(
+            add_source=lambda fill: None, publish=lambda: None
+        ),
+        engine_speeds=engine_speeds.EngineSpeeds(),
+    )
+    upstreams = relay_upstreams.RelayUpstreams(host=host)
+
+    def list_names():
+        return [it.name for it in upstreams.list_service("s")]
+
+    for name in ("a", "b", "c"):
+        bench.write(name, {})
+    assert list_names() == ["a", "b", "c"]
+    bench.write("a", {"leaving": True})
+    assert list_names() == ["b", "c"]
+    bench.directory.set_store_reached(True)
+    bench.revision += 1
+    bench.directory.apply_change(
+        stores.Change(
+            revision=bench.revision, entries=(), deleted=(PREFIX + "b",)
+        )
+    )
+    assert list_names() == ["b", "c"]
+    bench.now += RETURN_SECONDS + 0.1
+    assert list_names() == ["c"]
