--- a/buckthornhold/cold_upstreams.py
+++ b/buckthornhold/cold_upstreams.py
@@ -63,9 +63,9 @@
     def select(self, service: str, upstreams: list) -> list:
         """Return the upstreams of a service that one request may be sent to.
 
-        All of them if the service has no cold rate.
+        All of them if none is cold or the service has no cold rate.
         """
-        if self._decision is None:
+        if self._decision is None or not self._decision.any_cold:
             return upstreams
         selected = set(
             self._decision.select(
--- a/buckthornhold/relay_routers.py
+++ b/buckthornhold/relay_routers.py
@@ -53,11 +53,16 @@
     """What a router expects of a request on the upstream that it chose.
 
     ``seconds`` is the time to the first event and ``work`` what it depends
-    on; 0 and None where the router doesn't estimate it.
+    on; 0 and None where the router doesn't estimate it. ``pace`` is the
+    factor on the engine's times and ``load_share`` its load per slot, 0 where
+    they aren't known; ``saved_tokens`` are expected in its prefix cache.
     """
 
     seconds: float = 0.0
     work: engine_speeds.FirstEventWork | None = None
+    pace: float = 0.0
+    load_share: float = 0.0
+    saved_tokens: int = 0
 
 
 class RelayRouter(abc.ABC):
@@ -104,6 +109,15 @@
     ) -> None:
         """Learn from the time of a first event, for later estimates."""
 
+    def learn_interval(  # noqa: B027
+        self, upstream: relay_upstreams.RelayUpstream, seconds: float
+    ) -> None:
+        """Learn the upstream's pace from the time between two events.
+
+        Called before the service's speed learns from it; by default nothing
+        is learned.
+        """
+
 
 class LeastLoadedRouter(RelayRouter):
     """Chooses the least loaded upstream and prefers the local zone."""
@@ -134,7 +148,8 @@
     ) -> None:
         super().__init__(zone=zone)
         self._speeds = speeds
-        self._ring = hash_rings.HashRing()
+        #: For each service the candidates that its ring was built from.
+        self._rings: dict[str, tuple[object, hash_rings.HashRing]] = {}
         #: Engine that the ring assigned to the prefix of the last request.
         self._prefix_engine: str | None = None
 
@@ -183,5 +198,9 @@
         """Return the engine that the ring assigns to the prefix, if any."""
         if not workload.prefix:
             return None
-        self._ring.update(candidate.name for candidate in candidates)
-        return next(iter(self._ring.rank(workload.prefix)), None)
+        service = candidates[0].record.service
+        members, ring = self._rings.get(service, (None, hash_rings.HashRing()))
+        if members is not candidates:
+            ring.update(candidate.name for candidate in candidates)
+            self._rings[service] = (candidates, ring)
+        return next(iter(ring.rank(workload.prefix)), None)
--- a/buckthornhold/relay_upstreams.py
+++ b/buckthornhold/relay_upstreams.py
@@ -7,6 +7,7 @@
 
 from buckthornhold import backoffs
 from buckthornhold import cold_upstreams
+from buckthornhold import service_indexes
 from buckthornhold import upstream_directories
 from buckthornhold.coordination import pause_detectors
 from buckthornhold.peers import summaries_pb2
@@ -15,10 +16,6 @@
 OUTCOME_HALF_LIFE_SECONDS = 4.0
 #: Weight of outcomes below which an upstream's failures are not judged.
 MIN_OUTCOMES = 4.0
-#: An upstream is excluded if the failed share of its requests exceeds this
-#: one and exceeds the median share of the service's upstreams by this factor.
-MIN_EXCLUDED_FAILED_SHARE = 0.25
-EXCLUDED_FAILED_FACTOR = 2.5
 #: An upstream that has sent nothing for this long while requests are in flight
 #: is excluded, since a cut connection reports no error. A busy engine sends
 #: events of some stream all the time; a plain call has 0.6 s in all.
@@ -61,7 +58,8 @@
 
     ``in_flight`` counts this host's requests there; ``waiting_tokens`` sums
     the prompt tokens of those that have had no event yet. ``notify`` is called
-    with what the upstream announces of itself.
+    with what the upstream announces of itself, ``watch`` when it may become
+    silent or is paused, and ``note_outcomes`` after each outcome.
     """
 
     def __init__(
@@ -69,9 +67,13 @@
         *,
         record: upstream_directories.UpstreamRecord,
         notify: Callable = lambda upstream, announcement: None,
+        watch: Callable = lambda upstream: None,
+        note_outcomes: Callable = lambda upstream: None,
     ) -> None:
         self.record = record
         self._notify = notify
+        self._watch = watch
+        self._note_outcomes = note_outcomes
         self.in_flight = 0
         self.waiting_tokens = 0
         self.leaving = record.leaving
@@ -96,6 +98,11 @@
         """The upstream's name."""
         return self.record.name
 
+    @property
+    def slots(self) -> int:
+        """Requests that it runs at once."""
+        return max(1, self.record.slots)
+
     @property
     def load(self) -> int:
         """Requests in flight there, of all hosts with a recent summary."""
@@ -142,6 +149,7 @@
         """Count a request sent to the upstream, with its prompt's tokens."""
         if not self.in_flight:
             self._last_activity_at = time.monotonic()
+            self._watch(self)
         self.in_flight += 1
         self.waiting_tokens += prompt_tokens
 
@@ -172,10 +180,12 @@
         self.ended_total += 1
         self.failed_total += failed
         self.outcomes.add(time.monotonic(), ended=1, failed=failed)
+        self._note_outcomes(self)
 
     def pause(self, seconds: float) -> None:
         """Exclude the upstream for this long."""
         self.paused_until = max(self.paused_until, time.monotonic() + seconds)
+        self._watch(self)
 
 
 class RelayUpstreams:
@@ -184,6 +194,9 @@
     def __init__(self, *, host) -> None:
         self._host = host
         self._upstreams: dict[tuple[str, int], RelayUpstream] = {}
+        self._index = service_indexes.ServiceIndex()
+        #: Generation of the directory that was read last.
+        self._generation = -1
         self._leaving_names: dict[str, float] = {}
         self._totals: dict[tuple[str, int, str], tuple[int, int]] = {}
         self._announced_at = -math.inf
@@ -204,35 +217,53 @@
         that want no requests and those in zones that aren't allowed in any
         case. ``regions`` is a ``placements.Regions``.
         """
-        self.refresh()
-        now = time.monotonic()
-        active = [
-            upstream
-            for upstream in self.list_allowed(service, regions)
-            if not upstream.leaving
-            and self._backoffs.admits(upstream.key, upstream.in_flight)
-        ]
-        active = self.cold.select(service, active)
-        healthy = [
+        if self._host.directory.generation != self._generation:
+            self.refresh()
+        active = self._list_admitting(service, regions)
+        return (
+            self._index.exclude_unhealthy(active, time.monotonic()) or active
+        )
+
+    def _list_admitting(self, service: str, regions) -> list[RelayUpstream]:
+        """Return the upstreams that may get requests by their own state.
+
+        Every filter by a record or by what an upstream says of itself is
+        applied here, and only here. A list from which nothing is removed is
+        returned as it is, since routers recognize it.
+        """
+        staying = self._index.list_staying(service)
+        staying = self._filter_placed(staying, regions)
+        refusing = self._backoffs.list_refusing(
+            lambda key: (
+                self._upstreams[key].in_flight if key in self._upstreams else 0
+            )
+        )
+        if refusing:
+            staying = [it for it in staying if it.key not in refusing]
+        return self.cold.select(service, staying)
+
+    def list_allowed(self, service: str, regions=()) -> list[RelayUpstream]:
+        """Return the upstreams of a service in zones that are allowed."""
+        return self._filter_placed(self._index.list_known(service), regions)
+
+    def _filter_placed(self, upstreams, regions) -> list[RelayUpstream]:
+        placements = self._host.placements
+        if placements.allows_all(regions):
+            return upstreams
+        return [
             upstream
-            for upstream in active
-            if upstream.paused_until <= now and not upstream.is_silent(now)
+            for upstream in upstreams
+            if placements.allows(upstream.record.zone, regions)
         ]
-        return exclude_failing(healthy) or healthy or active
 
     def find_retry_wait(self, service: str, regions=()) -> float:
         """Return the seconds until an upstream of the service may be used.
 
         0 unless every one is excluded because requests were abandoned there.
         """
-        now = time.monotonic()
-        return min(
-            (
-                upstream.find_retry_wait(now)
-                for upstream in self.list_allowed(service, regions)
-                if not upstream.leaving
-            ),
-            default=0.0,
+        staying = self._index.list_staying(service)
+        return self._index.find_retry_wait(
+            self._filter_placed(staying, regions), time.monotonic()
         )
 
     def find_backoff_wait(self, service: str, regions=()) -> float:
@@ -252,25 +283,19 @@
         wait = self._backoffs.find_wait(upstream.key for upstream in staying)
         return wait or REPLACEMENT_WAIT_SECONDS
 
-    def list_allowed(self, service: str, regions=()) -> list[RelayUpstream]:
-        """Return the upstreams of a service in zones that are allowed."""
-        allows = self._host.placements.allows
-        return [
-            upstream
-            for upstream in self._upstreams.values()
-            if upstream.record.service == service
-            and allows(upstream.record.zone, regions)
-        ]
-
     def refresh(self) -> None:
         """Update the upstreams from the directory's records."""
         listed = set()
+        self._generation = self._host.directory.generation
         for record in self._host.directory.list_records():
             listed.add(record.key)
             upstream = self._upstreams.get(record.key)
             if upstream is None:
                 upstream = RelayUpstream(
-                    record=record, notify=self._take_announcement
+                    record=record,
+                    notify=self._take_announcement,
+                    watch=self._index.watch,
+                    note_outcomes=self._index.note_outcomes,
                 )
                 self._upstreams[record.key] = upstream
             if record.leaving:
@@ -285,6 +310,7 @@
                 self.cold.forget(key)
                 self._drop_totals(upstream.name)
                 self._host.engine_speeds.forget(key)
+        self._index.rebuild(self._upstreams.values())
 
     def apply_summary(self, summary: summaries_pb2.Summary) -> None:
         """Apply another host's outcomes and leaving upstreams."""
@@ -301,6 +327,7 @@
             upstream.outcomes.add(
                 now, ended=load.ended - ended, failed=load.failed - failed
             )
+            self._index.note_outcomes(upstream)
         for upstream in self._upstreams.values():
             if make_process_name(upstream) in leaving:
                 self._mark_leaving(upstream, summary.host)
@@ -358,6 +385,7 @@
         if upstream.leaving:
             return
         upstream.leaving = True
+        self._index.rebuild(self._upstreams.values())
         self._host.logger.bind(step="upstreams", peer=upstream.name).info(
             f"upstream is leaving by {source}, "
             f"{upstream.in_flight} requests in flight"
@@ -385,21 +413,3 @@
 def make_process_name(upstream: RelayUpstream) -> str:
     """Return the name of an upstream's process, as summaries use it."""
     return f"{upstream.name}/{upstream.record.started_at}"
-
-
-def exclude_failing(upstreams: list[RelayUpstream]) -> list[RelayUpstream]:
-    """Return the upstreams without those that fail more than the others."""
-    if len(upstreams) < 2:
-        return upstreams
-    shares = sorted(upstream.outcomes.failed_share for upstream in upstreams)
-    median = shares[(len(shares) - 1) // 2]
-    limit = max(MIN_EXCLUDED_FAILED_SHARE, median * EXCLUDED_FAILED_FACTOR)
-    healthy = [
-        upstream
-        for upstream in upstreams
-        if upstream.outcomes.failed_share <= limit
-    ]
-    # If most of them fail, the cause lies elsewhere.
-    if len(healthy) < math.ceil(len(upstreams) / 2):
-        return upstreams
-    return healthy
--- a/buckthornhold/scheduling/cold_starts.py
+++ b/buckthornhold/scheduling/cold_starts.py
@@ -156,6 +156,8 @@
         self._clock = clock
         self._draw = draw
         self._upstreams: dict[Key, _ColdUpstream] = {}
+        #: When the last of the known cold times ends.
+        self._last_end = -math.inf
         #: When each upstream turned cold again after it was warm.
         self._turned_at: dict[Key, float] = {}
         #: When each upstream's latest entry arrived.
@@ -178,6 +180,7 @@
         if seconds <= 0:
             return self._upstreams.pop(key, None) is not None
         ends_at = now + seconds
+        self._last_end = max(self._last_end, ends_at)
         known = self._upstreams.get(key)
         if known is not None and known.ends_at > now:
             known.ends_at = ends_at
@@ -198,6 +201,11 @@
         self._turned_at.pop(key, None)
         self._entry_at.pop(key, None)
 
+    @property
+    def any_cold(self) -> bool:
+        """Whether an upstream may be cold now."""
+        return self._last_end > self._clock()
+
     def find_remaining(self, key: Key) -> float:
         """Return the seconds for which an upstream is cold, 0 if warm."""
         known = self._upstreams.get(key)
--- a/buckthornhold/scheduling/placements.py
+++ b/buckthornhold/scheduling/placements.py
@@ -71,6 +71,10 @@
             return False
         return self._is_in_regions(zone, regions)
 
+    def allows_all(self, regions: Regions = ()) -> bool:
+        """Tell whether every zone may run a new request."""
+        return self._evacuated == frozenset() and not regions
+
     def find_refusal(
         self, zones: Collection[str], regions: Regions = ()
     ) -> reasons.Failure | None:
--- a/features/steps/cold_upstreams_steps.py
+++ b/features/steps/cold_upstreams_steps.py
@@ -189,7 +189,9 @@
             summaries=types.SimpleNamespace(
                 add_source=lambda fill: None, list_fresh=lambda: []
             ),
-            directory=types.SimpleNamespace(list_records=lambda: self.records),
+            directory=types.SimpleNamespace(
+                list_records=lambda: self.records, generation=0
+            ),
             moves=types.SimpleNamespace(
                 choose=lambda request, found, is_retry: (
                     relay_moves.VersionChoice(upstreams=found)
