--- a/features/tool/buckthornctl.feature
+++ b/features/tool/buckthornctl.feature
@@ -141,15 +141,6 @@
     When the operator asks after the change that put it in
     Then the tool exits with 0 and prints "took effect as revision"
 
-  Scenario: An entry host that a rule drains takes no new work
-    When the operator drains the last entry host
-    Then the last entry host is unready
-    And the status shows the last entry host as "draining"
-    When a caller is refused by the last entry host as it drains
-    Then each refusal is explained through the first host
-      | caller   | reason        | step      | rule                         | when         |
-      | draining | host_draining | admission | by the rule drain host=entry | ask again in |
-
   Scenario: A zone is evacuated and its evacuation ended
     When the operator runs "evacuate zone-a --wait"
     Then the tool exits with 0 and prints "in force on 3 of 3 hosts"
@@ -167,3 +158,12 @@
     Then the tool exits with 2 and prints "no rule evacuates"
     When the operator runs "evacuate zone-x"
     Then the tool exits with 2 and prints "no host in zone"
+
+  Scenario: An entry host that a rule drains takes no new work
+    When the operator drains the last entry host
+    Then the last entry host is unready
+    And the status shows the last entry host as "draining"
+    When a caller is refused by the last entry host as it drains
+    Then each refusal is explained through the first host
+      | caller   | reason        | step      | rule                         | when         |
+      | draining | host_draining | admission | by the rule drain host=entry | ask again in |
