Raise the fake directory's generation with its records

Cause: upstreams are read again only when the directory has changed. Change: the fake says so, as the real one does; no check changed.

--- a/features/steps/cold_upstreams_steps.py
+++ b/features/steps/cold_upstreams_steps.py
@@ -292,6 +292,7 @@
     context.bench.records[0] = upstream_directories.UpstreamRecord(
         **{**vars(first), "warm_up_seconds": 0.0}
     )
+    context.bench.host.directory.generation += 1
 
 
 @behave.fixture
