Let a retried request wait for a place at a cold upstream

A request that may have run and found only cold upstreams without a place was meant to wait for a moment, but the next check of the selector took the missing place for a back-off and refused it at once as no_upstream. The wait now polls without that check. The new step failed before with 'every upstream is leaving or wants no requests' and passes now.

--- a/buckthornhold/relay_selectors.py
+++ b/buckthornhold/relay_selectors.py
@@ -135,12 +135,11 @@
             wait = self._host.upstreams.cold.find_wait(
                 self._request.service, self._regions
             )
-            if (
-                wait
-                and not candidates
-                and not (is_retry and time.monotonic() < ends_at)
-            ):
-                # A request that may have run waits for a place for a moment.
+            if wait and not candidates:
+                if is_retry and time.monotonic() < ends_at:
+                    # It may have run, so it waits for a place for a moment.
+                    await asyncio.sleep(NO_UPSTREAM_POLL_SECONDS)
+                    continue
                 return _fail(
                     "every upstream is cold, with no place for this host now",
                     reason=reasons.Reason.UPSTREAMS_COLD,
--- a/features/cold_upstreams/cold_upstreams.feature
+++ b/features/cold_upstreams/cold_upstreams.feature
@@ -64,6 +64,7 @@
     When cold: 30 requests arrive at once
     Then cold: at most 23 were sent to each upstream
     And cold: the last was refused in 0.05 s as upstreams_cold, to return in 2.5 s
+    And cold: a request that may have run waits and is sent
     When cold: the first upstream's entry is read again
     Then cold: its remaining time has not changed
     When cold: a new revision says that the first upstream is warm
--- a/features/steps/cold_upstreams_steps.py
+++ b/features/steps/cold_upstreams_steps.py
@@ -217,7 +217,7 @@
             version=1, services=(service,)
         )
 
-    def send(self):
+    def send(self, *, is_retry=False):
         request = types.SimpleNamespace(
             service="s",
             workload=relay_routers.Workload(),
@@ -227,7 +227,7 @@
         selector = relay_selectors.UpstreamSelector(
             host=self.host, request=request
         )
-        return asyncio.run(selector.select(is_retry=False))
+        return asyncio.run(selector.select(is_retry=is_retry))
 
     def send_all(self, count):
         return [self.send() for _ in range(count)]
@@ -268,6 +268,12 @@
     assert context.seconds <= limit, context.seconds
 
 
+@behave.then("cold: a request that may have run waits and is sent")
+def check_retry(context):
+    result = context.bench.send(is_retry=True)
+    assert not isinstance(result, reasons.Failure), result
+
+
 @behave.when("cold: the first upstream's entry is read again")
 def read_again(context):
     cold = context.bench.host.upstreams.cold
