Do nothing per upstream in a listing without cold or evacuated ones

list_service asked the placements for each upstream's zone, applied each unchanged entry again and kept on filtering after an upstream was cold once. Now unchanged records are skipped, and the filters return their input while no zone is evacuated, no region asked for and no upstream cold.

--- a/buckthornhold/cold_upstreams.py
+++ b/buckthornhold/cold_upstreams.py
@@ -65,7 +65,7 @@
 
         All of them if the service has no cold rate.
         """
-        if self._decision is None:
+        if self._decision is None or not self._decision.any_cold:
             return upstreams
         selected = set(
             self._decision.select(
--- a/buckthornhold/relay_upstreams.py
+++ b/buckthornhold/relay_upstreams.py
@@ -254,25 +254,32 @@
 
     def list_allowed(self, service: str, regions=()) -> list[RelayUpstream]:
         """Return the upstreams of a service in zones that are allowed."""
-        allows = self._host.placements.allows
-        return [
+        listed = [
             upstream
             for upstream in self._upstreams.values()
             if upstream.record.service == service
-            and allows(upstream.record.zone, regions)
         ]
+        # Called for each attempt; most fleets have no restriction.
+        if self._host.placements.allows_all(regions):
+            return listed
+        allows = self._host.placements.allows
+        return [it for it in listed if allows(it.record.zone, regions)]
 
     def refresh(self) -> None:
         """Update the upstreams from the directory's records."""
         listed = set()
         for record in self._host.directory.list_records():
-            listed.add(record.key)
-            upstream = self._upstreams.get(record.key)
+            key = record.key
+            listed.add(key)
+            upstream = self._upstreams.get(key)
             if upstream is None:
                 upstream = RelayUpstream(
                     record=record, notify=self._take_announcement
                 )
-                self._upstreams[record.key] = upstream
+                self._upstreams[key] = upstream
+            elif upstream.record is record:
+                # The directory keeps one record for each revision.
+                continue
             if record.leaving:
                 self._mark_leaving(upstream, "its record")
             upstream.record = record
--- a/buckthornhold/scheduling/cold_starts.py
+++ b/buckthornhold/scheduling/cold_starts.py
@@ -163,6 +163,11 @@
         self._ring = hash_rings.HashRing()
         self._ring_hosts: tuple[str, ...] = ()
 
+    @property
+    def any_cold(self) -> bool:
+        """Whether the latest entry of any upstream said that it is cold."""
+        return bool(self._upstreams)
+
     def apply_entry(
         self, key: Key, seconds: float, *, first_seen: bool
     ) -> bool:
--- a/buckthornhold/scheduling/placements.py
+++ b/buckthornhold/scheduling/placements.py
@@ -65,6 +65,10 @@
             ended=tuple(sorted(before - self._evacuated)),
         )
 
+    def allows_all(self, regions: Regions = ()) -> bool:
+        """Tell whether every zone may run a new request."""
+        return not regions and self._evacuated == frozenset()
+
     def allows(self, zone: str, regions: Regions = ()) -> bool:
         """Tell whether a zone may run a new request."""
         if self._evacuated is None or zone in self._evacuated:
--- a/features/cold_upstreams/cold_upstreams.feature
+++ b/features/cold_upstreams/cold_upstreams.feature
@@ -70,6 +70,11 @@
     When cold: a new revision says that the first upstream is warm
     Then cold: 30 more requests that arrive at once are all sent
 
+  Scenario: A listing does nothing for each upstream while none is cold or evacuated
+    Hosts with a tenth of a core list the upstreams for each attempt.
+    Given cold: a host whose upstreams are cold for 0 and 0 seconds
+    Then cold: a listing checks no upstream's zone and applies no entry again
+
   Scenario: A relay host refuses calls that find no place
     Given cold: a relay host and two upstreams that are cold for 3 s
     When cold: 60 calls arrive at once
--- a/features/steps/cold_upstreams_steps.py
+++ b/features/steps/cold_upstreams_steps.py
@@ -4,6 +4,7 @@
 import collections
 import time
 import types
+from unittest import mock
 
 import behave
 
@@ -371,6 +372,18 @@
     assert set(found) == {200}, found
 
 
+@behave.then(
+    "cold: a listing checks no upstream's zone and applies no entry again"
+)
+def check_listing(context):
+    host = context.bench.host
+    host.placements.allows = mock.Mock(return_value=True)
+    host.upstreams.cold.apply_record = mock.Mock()
+    assert len(host.upstreams.list_service("s")) == 2
+    assert not host.placements.allows.called
+    assert not host.upstreams.cold.apply_record.called
+
+
 @behave.when("cold: the configuration has no cold rate")
 def drop_rate(context):
     context.bench.apply_rate(0.0)
