Order no upstreams before the evacuated zones are known

A holder of the duties that got the configuration from a peer while the store was down took the unknown evacuated zones for none and could order upstreams in an evacuated zone. It now gives no orders until they are known. The new scenario failed before.

--- a/buckthornhold/fleet_orders.py
+++ b/buckthornhold/fleet_orders.py
@@ -38,6 +38,9 @@
         self._held_rounds += 1
         if self._held_rounds * INTERVAL < SETTLE_SECONDS:
             return
+        if not self._host.placements.known:
+            # The configuration may arrive from a peer before the orders.
+            return
         for service in current.services.values():
             if service.offer is not None:
                 await self._order(service)
--- a/features/placements/decisions.feature
+++ b/features/placements/decisions.feature
@@ -45,6 +45,11 @@
     When placements: the zones abc are evacuated and 20 rounds of orders pass
     Then placements: nothing is ordered
 
+  Scenario: Nothing is ordered before the evacuated zones are known
+    Given placements: a holder with 2 upstreams in each of 3 zones and a demand of 5
+    When placements: it is not known which zones are evacuated and 20 rounds of orders pass
+    Then placements: nothing is ordered
+
   Scenario: A record is held only in the zones of its request's rule
     Given holders: a host with a neighbour, and 4 hosts of other zones
     Then placements: records of a rule with zone-c are offered to zone-c alone, while it serves
--- a/features/steps/placements_steps.py
+++ b/features/steps/placements_steps.py
@@ -215,8 +215,18 @@
         host.moves.is_moving.return_value = False
         host.moves.removes.return_value = False
         host.upstreams.cold.list_remaining.return_value = {}
+        self.host = host
         self.orderer = fleet_orders.FleetOrderer(host=host, calls=self)
 
+    def pass_rounds(self, rounds):
+        self.orders.clear()
+
+        async def run():
+            for _ in range(rounds):
+                await self.orderer.run_once()
+
+        asyncio.run(run())
+
     def start(self, zone, count):
         self.records += [
             upstream_directories.UpstreamRecord(
@@ -248,14 +258,17 @@
     "orders pass"
 )
 def pass_rounds(context, zones, rounds):
-    context.bench.orders.clear()
     context.bench.placements.set_evacuated(zones)
+    context.bench.pass_rounds(rounds)
 
-    async def run():
-        for _ in range(rounds):
-            await context.bench.orderer.run_once()
 
-    asyncio.run(run())
+@behave.when(
+    "placements: it is not known which zones are evacuated and {rounds:d} "
+    "rounds of orders pass"
+)
+def pass_early_rounds(context, rounds):
+    context.bench.host.placements = placements.Placements()
+    context.bench.pass_rounds(rounds)
 
 
 @behave.then(
