Refuse at once if only cold upstreams of a usable version are left

The wait for cold upstreams counted those of a version that a move has taken back, so a warm one of these let requests poll for 0.3 s instead of being refused with the cold time. It now counts what the move lets the request use. The new scenario failed before: the last request was polled and sent.

--- a/buckthornhold/cold_upstreams.py
+++ b/buckthornhold/cold_upstreams.py
@@ -91,20 +91,17 @@
             rate = self._find_rate(upstream.record.service)
             self._decision.record_request(upstream.key, rate)
 
-    def find_wait(self, service: str, regions=()) -> float:
-        """Return the seconds until the first upstream of a service is warm.
+    def find_wait(self, service: str, upstreams: list) -> float:
+        """Return the seconds until the first of some upstreams is warm.
 
         0 if none is cold, or if a request could be sent to one now.
-        ``regions`` is a ``placements.Regions``.
+        ``upstreams`` are those of the service that a request may use.
         """
-        if self._decision is None or not self._find_rate(service):
+        if self._decision is None:
             return 0.0
-        staying = [
-            upstream.key
-            for upstream in self._host.upstreams.list_allowed(service, regions)
-            if not upstream.leaving
-        ]
-        return self._decision.find_wait(staying, self._find_rate(service))
+        return self._decision.find_wait(
+            [upstream.key for upstream in upstreams], self._find_rate(service)
+        )
 
     def list_remaining(self, service: str) -> dict[tuple[str, int], float]:
         """Return the remaining cold seconds of a service's cold upstreams.
--- a/buckthornhold/relay_selectors.py
+++ b/buckthornhold/relay_selectors.py
@@ -132,10 +132,8 @@
                 refusal = self._find_placement_refusal(is_retry)
                 if refusal is not None:
                     return refusal
-            wait = self._host.upstreams.cold.find_wait(
-                self._request.service, self._regions
-            )
-            if wait and not candidates:
+            wait = 0.0 if candidates else self._find_cold_wait(is_retry)
+            if wait:
                 if is_retry and time.monotonic() < ends_at:
                     # It may have run, so it waits for a place for a moment.
                     await asyncio.sleep(NO_UPSTREAM_POLL_SECONDS)
@@ -165,19 +163,37 @@
         self, is_retry: bool
     ) -> reasons.Failure | None:
         """Return the refusal if no upstream is in a zone that is allowed."""
-        staying = [
+        known = [
             upstream
             for upstream in self._host.upstreams.list_all()
             if upstream.record.service == self._request.service
-            and not upstream.leaving
         ]
+        usable = self._list_usable(known, is_retry)
+        return self._host.placements.find_refusal(
+            {upstream.record.zone for upstream in usable}, self._regions
+        )
+
+    def _find_cold_wait(self, is_retry: bool) -> float:
+        """Return the seconds until the first cold upstream is warm.
+
+        0 if the request isn't refused because all that it may use are cold.
+        """
+        allowed = self._host.upstreams.list_allowed(
+            self._request.service, self._regions
+        )
+        return self._host.upstreams.cold.find_wait(
+            self._request.service, self._list_usable(allowed, is_retry)
+        )
+
+    def _list_usable(
+        self, upstreams: list[relay_upstreams.RelayUpstream], is_retry: bool
+    ) -> list[relay_upstreams.RelayUpstream]:
+        """Return those that stay and have a version that may be used."""
+        staying = [it for it in upstreams if not it.leaving]
         choice = self._host.moves.choose(
             self._request, staying, is_retry=is_retry
         )
-        return self._host.placements.find_refusal(
-            {upstream.record.zone for upstream in choice.upstreams},
-            self._regions,
-        )
+        return choice.upstreams
 
     def _choose(
         self, untried: list[relay_upstreams.RelayUpstream]
--- a/features/cold_upstreams/cold_upstreams.feature
+++ b/features/cold_upstreams/cold_upstreams.feature
@@ -70,6 +70,12 @@
     When cold: a new revision says that the first upstream is warm
     Then cold: 30 more requests that arrive at once are all sent
 
+  Scenario: A warm version that a move has taken back is not waited for
+    Given cold: a host whose upstreams are cold for 2.5 and 0 seconds
+    And cold: a move sends no request to the second
+    When cold: 30 requests arrive at once
+    Then cold: the last was refused in 0.05 s as upstreams_cold, to return in 2.5 s
+
   Scenario: A listing does nothing for each upstream while none is cold or evacuated
     Hosts with a tenth of a core list the upstreams for each attempt.
     Given cold: a host whose upstreams are cold for 0 and 0 seconds
--- a/features/steps/cold_upstreams_steps.py
+++ b/features/steps/cold_upstreams_steps.py
@@ -113,6 +113,15 @@
     context.bench = ColdBench((first, second))
 
 
+@behave.given("cold: a move sends no request to the second")
+def take_back(context):
+    def choose(request, found, is_retry):
+        old = [it for it in found if it.name != "u1"]
+        return relay_moves.VersionChoice(upstreams=old)
+
+    context.bench.host.moves.choose = choose
+
+
 @behave.when("cold: {count:d} requests arrive at once")
 def send_requests(context, count):
     context.results = context.bench.send_all(count)
