Tell hosts that don't watch the store of a cold time that grew

In a fleet of more than 12 hosts most hosts get changed lists of upstreams only, and a list counted as unchanged while an upstream went from cold to cold. One that became warm and cold again between two entries was taken for warm there, without a bound on its requests. A cold time that grew is now a change.

--- a/buckthornhold/upstream_directories.py
+++ b/buckthornhold/upstream_directories.py
@@ -67,9 +67,16 @@
         """Identifies the process."""
         return (self.name, self.started_at)
 
-    def is_same(self, other: "UpstreamRecord") -> bool:
-        """Tell whether both say the same but for times that are running."""
-        return self._without_times() == other._without_times()
+    def is_same(self, former: "UpstreamRecord") -> bool:
+        """Tell whether both say the same but for times that are running.
+
+        A warm-up time that grew is news: the upstream is cold again, though
+        its entries may not have said in between that it was warm.
+        """
+        return (
+            self.warm_up_seconds <= former.warm_up_seconds
+            and self._without_times() == former._without_times()
+        )
 
     def _without_times(self) -> "UpstreamRecord":
         return dataclasses.replace(
--- a/features/cold_upstreams/cold_upstreams.feature
+++ b/features/cold_upstreams/cold_upstreams.feature
@@ -76,6 +76,10 @@
     When cold: 30 requests arrive at once
     Then cold: the last was refused in 0.05 s as upstreams_cold, to return in 2.5 s
 
+  Scenario: Hosts that don't watch the store learn that a cold time grew
+    They are told of changed lists only, and would take the upstream for warm.
+    Then cold: entries that are cold for 3, 0.5, 2.6, 1.4 and 0 s change the list at the first, third and fifth
+
   Scenario: A listing does nothing for each upstream while none is cold or evacuated
     Hosts with a tenth of a core list the upstreams for each attempt.
     Given cold: a host whose upstreams are cold for 0 and 0 seconds
--- a/features/steps/cold_upstreams_steps.py
+++ b/features/steps/cold_upstreams_steps.py
@@ -17,6 +17,7 @@
 from buckthornhold import relay_settings
 from buckthornhold import relay_upstreams
 from buckthornhold import routes
+from buckthornhold import stores
 from buckthornhold import upstream_directories
 from buckthornhold.coordination import members
 from buckthornhold.scheduling import cold_capacities
@@ -264,6 +265,33 @@
     assert not host.upstreams.cold.apply_record.called
 
 
+@behave.then(
+    "cold: entries that are cold for 3, 0.5, 2.6, 1.4 and 0 s change the "
+    "list at the first, third and fifth"
+)
+def check_list_changes(context):
+    directory = upstream_directories.UpstreamDirectory(
+        prefix="",
+        decode=lambda name, text: upstream_directories.UpstreamRecord(
+            name=name,
+            service="s",
+            address="",
+            zone="a",
+            warm_up_seconds=float(text),
+        ),
+        return_seconds=0.0,
+        logger=logs.bind(host="h", zone="a"),
+    )
+    found = []
+    for revision, text in enumerate(("3", "0.5", "2.6", "1.4", "0"), start=1):
+        entry = stores.Entry(key="u", value=text, version=revision)
+        directory.apply_change(
+            stores.Change(revision=revision, entries=(entry,), deleted=())
+        )
+        found.append(directory.version)
+    assert found == [1, 1, 3, 3, 5], found
+
+
 @behave.when("cold: the configuration has no cold rate")
 def drop_rate(context):
     context.bench.apply_rate(0.0)
