--- a/buckthornhold/relay_upstreams.py
+++ b/buckthornhold/relay_upstreams.py
@@ -1,24 +1,16 @@
 """Relay upstreams: load, recent outcomes and silence of each upstream."""
 
 from collections.abc import Callable
-import dataclasses
 import math
 import time
 
 from buckthornhold import backoffs
 from buckthornhold import cold_upstreams
 from buckthornhold import upstream_directories
+from buckthornhold import upstream_outcomes
 from buckthornhold.coordination import pause_detectors
 from buckthornhold.peers import summaries_pb2
 
-#: Half-life of the weight of an upstream's outcomes.
-OUTCOME_HALF_LIFE_SECONDS = 4.0
-#: Weight of outcomes below which an upstream's failures are not judged.
-MIN_OUTCOMES = 4.0
-#: An upstream is excluded if the failed share of its requests exceeds this
-#: one and exceeds the median share of the service's upstreams by this factor.
-MIN_EXCLUDED_FAILED_SHARE = 0.25
-EXCLUDED_FAILED_FACTOR = 2.5
 #: An upstream that has sent nothing for this long while requests are in flight
 #: is excluded, since a cut connection reports no error. A busy engine sends
 #: events of some stream all the time; a plain call has 0.6 s in all.
@@ -33,29 +25,6 @@
 MIN_ANNOUNCE_INTERVAL_SECONDS = 0.1
 
 
-@dataclasses.dataclass(kw_only=True)
-class Outcomes:
-    """Counts of an upstream's outcomes, with exponential decay."""
-
-    ended: float = 0.0
-    failed: float = 0.0
-    updated_at: float = 0.0
-
-    def add(self, now: float, *, ended: float, failed: float) -> None:
-        """Add outcomes; ``now`` is on the monotonic clock."""
-        factor = 0.5 ** ((now - self.updated_at) / OUTCOME_HALF_LIFE_SECONDS)
-        self.ended = self.ended * factor + ended
-        self.failed = self.failed * factor + failed
-        self.updated_at = now
-
-    @property
-    def failed_share(self) -> float:
-        """Share of the requests that failed, 0 while the counts are low."""
-        if self.ended < MIN_OUTCOMES:
-            return 0.0
-        return self.failed / self.ended
-
-
 class RelayUpstream:
     """One process of an upstream, as this host observes it.
 
@@ -75,7 +44,7 @@
         self.in_flight = 0
         self.waiting_tokens = 0
         self.leaving = record.leaving
-        self.outcomes = Outcomes()
+        self.outcomes = upstream_outcomes.Outcomes()
         self.ended_total = 0
         self.failed_total = 0
         self.paused_until = 0.0
@@ -218,7 +187,7 @@
             for upstream in active
             if upstream.paused_until <= now and not upstream.is_silent(now)
         ]
-        return exclude_failing(healthy) or healthy or active
+        return upstream_outcomes.exclude_failing(healthy) or healthy or active
 
     def find_retry_wait(self, service: str, regions=()) -> float:
         """Return the seconds until an upstream of the service may be used.
@@ -392,21 +361,3 @@
 def make_process_name(upstream: RelayUpstream) -> str:
     """Return the name of an upstream's process, as summaries use it."""
     return f"{upstream.name}/{upstream.record.started_at}"
-
-
-def exclude_failing(upstreams: list[RelayUpstream]) -> list[RelayUpstream]:
-    """Return the upstreams without those that fail more than the others."""
-    if len(upstreams) < 2:
-        return upstreams
-    shares = sorted(upstream.outcomes.failed_share for upstream in upstreams)
-    median = shares[(len(shares) - 1) // 2]
-    limit = max(MIN_EXCLUDED_FAILED_SHARE, median * EXCLUDED_FAILED_FACTOR)
-    healthy = [
-        upstream
-        for upstream in upstreams
-        if upstream.outcomes.failed_share <= limit
-    ]
-    # If most of them fail, the cause lies elsewhere.
-    if len(healthy) < math.ceil(len(upstreams) / 2):
-        return upstreams
-    return healthy
