Look for cold upstreams only where a service has a cold rate

Without one, a listing still read the clock for each upstream while any was warming up, as upstreams do in fleets without the part. The new step failed before.

--- a/buckthornhold/cold_upstreams.py
+++ b/buckthornhold/cold_upstreams.py
@@ -67,10 +67,12 @@
         """
         if self._decision is None or not self._decision.any_cold:
             return upstreams
+        rate = self._find_rate(service)
+        if not rate:
+            return upstreams
         selected = set(
             self._decision.select(
-                [upstream.key for upstream in upstreams],
-                self._find_rate(service),
+                [upstream.key for upstream in upstreams], rate
             )
         )
         return [it for it in upstreams if it.key in selected]
--- a/features/cold_upstreams/cold_upstreams.feature
+++ b/features/cold_upstreams/cold_upstreams.feature
@@ -97,6 +97,7 @@
     Given cold: a host whose upstreams are cold for 2.5 and 4 seconds
     When cold: the configuration has no cold rate
     Then cold: 30 more requests that arrive at once are all sent
+    And cold: a listing does not look for cold upstreams
 
   Scenario: Cold upstreams are no capacity, but nothing is ordered for them
     Given cold: upstreams that take 4 s to start and are then cold for 3 s
--- a/features/steps/cold_upstreams_steps.py
+++ b/features/steps/cold_upstreams_steps.py
@@ -265,6 +265,16 @@
     assert not host.upstreams.cold.apply_record.called
 
 
+@behave.then("cold: a listing does not look for cold upstreams")
+def check_unlimited_listing(context):
+    find_remaining = mock.patch.object(
+        cold_starts.ColdStarts, "find_remaining", return_value=1.0
+    )
+    with find_remaining as found:
+        assert len(context.bench.host.upstreams.list_service("s")) == 2
+    assert not found.called
+
+
 @behave.then(
     "cold: entries that are cold for 3, 0.5, 2.6, 1.4 and 0 s change the "
     "list at the first, third and fifth"
