--- a/buckthornhold/relay_upstreams.py
+++ b/buckthornhold/relay_upstreams.py
@@ -1,7 +1,6 @@
 """Relay upstreams: load, recent outcomes and silence of each upstream."""
 
 from collections.abc import Callable
-import dataclasses
 import math
 import time
 
@@ -9,13 +8,10 @@
 from buckthornhold import cold_upstreams
 from buckthornhold import service_indexes
 from buckthornhold import upstream_directories
+from buckthornhold import upstream_outcomes
 from buckthornhold.coordination import pause_detectors
 from buckthornhold.peers import summaries_pb2
 
-#: Half-life of the weight of an upstream's outcomes.
-OUTCOME_HALF_LIFE_SECONDS = 4.0
-#: Weight of outcomes below which an upstream's failures are not judged.
-MIN_OUTCOMES = 4.0
 #: An upstream that has sent nothing for this long while requests are in flight
 #: is excluded, since a cut connection reports no error. A busy engine sends
 #: events of some stream all the time; a plain call has 0.6 s in all.
@@ -30,29 +26,6 @@
 MIN_ANNOUNCE_INTERVAL_SECONDS = 0.1
 
 
-@dataclasses.dataclass(kw_only=True)
-class Outcomes:
-    """Counts of an upstream's outcomes, with exponential decay."""
-
-    ended: float = 0.0
-    failed: float = 0.0
-    updated_at: float = 0.0
-
-    def add(self, now: float, *, ended: float, failed: float) -> None:
-        """Add outcomes; ``now`` is on the monotonic clock."""
-        factor = 0.5 ** ((now - self.updated_at) / OUTCOME_HALF_LIFE_SECONDS)
-        self.ended = self.ended * factor + ended
-        self.failed = self.failed * factor + failed
-        self.updated_at = now
-
-    @property
-    def failed_share(self) -> float:
-        """Share of the requests that failed, 0 while the counts are low."""
-        if self.ended < MIN_OUTCOMES:
-            return 0.0
-        return self.failed / self.ended
-
-
 class RelayUpstream:
     """One process of an upstream, as this host observes it.
 
@@ -77,7 +50,7 @@
         self.in_flight = 0
         self.waiting_tokens = 0
         self.leaving = record.leaving
-        self.outcomes = Outcomes()
+        self.outcomes = upstream_outcomes.Outcomes()
         self.ended_total = 0
         self.failed_total = 0
         self.paused_until = 0.0
@@ -288,8 +261,9 @@
         listed = set()
         self._generation = self._host.directory.generation
         for record in self._host.directory.list_records():
-            listed.add(record.key)
-            upstream = self._upstreams.get(record.key)
+            key = record.key
+            listed.add(key)
+            upstream = self._upstreams.get(key)
             if upstream is None:
                 upstream = RelayUpstream(
                     record=record,
@@ -297,7 +271,10 @@
                     watch=self._index.watch,
                     note_outcomes=self._index.note_outcomes,
                 )
-                self._upstreams[record.key] = upstream
+                self._upstreams[key] = upstream
+            elif upstream.record is record:
+                # The directory keeps one record for each revision.
+                continue
             if record.leaving:
                 self._mark_leaving(upstream, "its record")
             upstream.record = record
--- a/buckthornhold/scheduling/placements.py
+++ b/buckthornhold/scheduling/placements.py
@@ -65,16 +65,16 @@
             ended=tuple(sorted(before - self._evacuated)),
         )
 
+    def allows_all(self, regions: Regions = ()) -> bool:
+        """Tell whether every zone may run a new request."""
+        return not regions and self._evacuated == frozenset()
+
     def allows(self, zone: str, regions: Regions = ()) -> bool:
         """Tell whether a zone may run a new request."""
         if self._evacuated is None or zone in self._evacuated:
             return False
         return self._is_in_regions(zone, regions)
 
-    def allows_all(self, regions: Regions = ()) -> bool:
-        """Tell whether every zone may run a new request."""
-        return self._evacuated == frozenset() and not regions
-
     def find_refusal(
         self, zones: Collection[str], regions: Regions = ()
     ) -> reasons.Failure | None:
--- a/buckthornhold/service_indexes.py
+++ b/buckthornhold/service_indexes.py
@@ -6,12 +6,8 @@
 """
 
 from collections.abc import Iterable
-import math
 
-#: An upstream is excluded if the failed share of its requests exceeds this
-#: one and exceeds the median share of the service's upstreams by this factor.
-MIN_EXCLUDED_FAILED_SHARE = 0.25
-EXCLUDED_FAILED_FACTOR = 2.5
+from buckthornhold import upstream_outcomes
 
 
 class ServiceIndex:
@@ -48,7 +44,8 @@
 
         Only a share above the minimum can exclude one.
         """
-        if upstream.outcomes.failed_share > MIN_EXCLUDED_FAILED_SHARE:
+        failed_share = upstream.outcomes.failed_share
+        if failed_share > upstream_outcomes.MIN_EXCLUDED_FAILED_SHARE:
             self._failing.add(upstream)
         else:
             self._failing.discard(upstream)
@@ -81,22 +78,6 @@
         healthy = upstreams
         if excluded:
             healthy = [it for it in upstreams if it not in excluded]
-        return exclude_failing(healthy) if self._failing else healthy
-
-
-def exclude_failing(upstreams: list) -> list:
-    """Return the upstreams without those that fail more than the others."""
-    if len(upstreams) < 2:
-        return upstreams
-    shares = sorted(upstream.outcomes.failed_share for upstream in upstreams)
-    median = shares[(len(shares) - 1) // 2]
-    limit = max(MIN_EXCLUDED_FAILED_SHARE, median * EXCLUDED_FAILED_FACTOR)
-    healthy = [
-        upstream
-        for upstream in upstreams
-        if upstream.outcomes.failed_share <= limit
-    ]
-    # If most of them fail, the cause lies elsewhere.
-    if len(healthy) < math.ceil(len(upstreams) / 2):
-        return upstreams
-    return healthy
+        if not self._failing:
+            return healthy
+        return upstream_outcomes.exclude_failing(healthy)
--- a/features/cold_upstreams/cold_upstreams.feature
+++ b/features/cold_upstreams/cold_upstreams.feature
@@ -64,11 +64,27 @@
     When cold: 30 requests arrive at once
     Then cold: at most 23 were sent to each upstream
     And cold: the last was refused in 0.05 s as upstreams_cold, to return in 2.5 s
+    And cold: a request that may have run waits and is sent
     When cold: the first upstream's entry is read again
     Then cold: its remaining time has not changed
     When cold: a new revision says that the first upstream is warm
     Then cold: 30 more requests that arrive at once are all sent
 
+  Scenario: A warm version that a move has taken back is not waited for
+    Given cold: a host whose upstreams are cold for 2.5 and 0 seconds
+    And cold: a move sends no request to the second
+    When cold: 30 requests arrive at once
+    Then cold: the last was refused in 0.05 s as upstreams_cold, to return in 2.5 s
+
+  Scenario: Hosts that don't watch the store learn that a cold time grew
+    They are told of changed lists only, and would take the upstream for warm.
+    Then cold: entries that are cold for 3, 0.5, 2.6, 1.4 and 0 s change the list at the first, third and fifth
+
+  Scenario: A listing does nothing for each upstream while none is cold or evacuated
+    Hosts with a tenth of a core list the upstreams for each attempt.
+    Given cold: a host whose upstreams are cold for 0 and 0 seconds
+    Then cold: a listing checks no upstream's zone and applies no entry again
+
   Scenario: A relay host refuses calls that find no place
     Given cold: a relay host and two upstreams that are cold for 3 s
     When cold: 60 calls arrive at once
@@ -81,6 +97,7 @@
     Given cold: a host whose upstreams are cold for 2.5 and 4 seconds
     When cold: the configuration has no cold rate
     Then cold: 30 more requests that arrive at once are all sent
+    And cold: a listing does not look for cold upstreams
 
   Scenario: Cold upstreams are no capacity, but nothing is ordered for them
     Given cold: upstreams that take 4 s to start and are then cold for 3 s
