Keep usage totals of all windows that may be reported

Totals were kept for 20 s, 4 windows of 5 s, while a holder of the duties reports up to 7 ended windows. A later holder's total of an older window was dropped as it was added, announced again in each step of 0.5 s and never reported. At least 8 windows are kept now. The new scenario failed before the change and passes with it.

--- a/buckthornhold/usage_totals.py
+++ b/buckthornhold/usage_totals.py
@@ -16,6 +16,10 @@
 #: Totals written this long ago aren't lost by a restoration: the copy is at
 #: most 10 s old, and the outage before it is brief.
 RETENTION_SECONDS = 20.0
+#: Windows that are kept at least: as many as ``usages.RETAINED_WINDOWS``. A
+#: later holder may still report any of these, and a total that is dropped as
+#: soon as it is added would be announced in each step and never reported.
+MIN_RETAINED_WINDOWS = 8
 
 
 class UsageTotals:
@@ -27,7 +31,9 @@
     def __init__(
         self, *, window_seconds: float, is_needed: Callable[[], bool]
     ) -> None:
-        self._retained = math.ceil(RETENTION_SECONDS / window_seconds)
+        self._retained = max(
+            MIN_RETAINED_WINDOWS, math.ceil(RETENTION_SECONDS / window_seconds)
+        )
         self._is_needed = is_needed
         self._totals: dict[int, dict[str, int]] = {}
 
--- a/features/steps/store_era_usage_steps.py
+++ b/features/steps/store_era_usage_steps.py
@@ -142,3 +142,27 @@
 def check_at_once(context):
     assert len(context.cloud.reports) == 1
     assert context.holder.told == 0
+
+
+@behave.when(
+    "eras: the other host takes over {count:d} windows of which it knows "
+    "the last"
+)
+def take_over(context, count):
+    host = context.other
+    last = WINDOW + count - 1
+    for window in range(WINDOW, last + 1):
+        host.usage.counts[window] = {"shop": 1}
+    host.usage.find_current_window = lambda: last + 1
+    host.summaries.read_time_of_day = lambda: (last + 2) * WINDOW_SECONDS
+    host.reporter._totals.add(last, {"shop": 1})
+    run(host, 4)
+
+
+@behave.then(
+    "eras: it reported all {count:d} windows and announced each total once"
+)
+def check_taken_over(context, count):
+    reported = {window for window, _ in context.cloud.reports}
+    assert reported == set(range(WINDOW, WINDOW + count)), reported
+    assert context.other.told == count - 1, context.other.told
--- a/features/store_eras/usage.feature
+++ b/features/store_eras/usage.feature
@@ -23,3 +23,9 @@
     Given eras: a holder of the duties and a host that follows it
     When eras: the store names no era and a window is reported
     Then eras: it was reported in one step and no other host was told
+
+  # Such a window would be announced in each step and never reported.
+  Scenario: A later holder reports a window older than the known totals
+    Given eras: a holder of the duties and a host that follows it
+    When eras: the other host takes over 7 windows of which it knows the last
+    Then eras: it reported all 7 windows and announced each total once
