Repeat a failed rewriting of a shard's lost claims

After a restoration each shard's writer read the log once; if that call failed, claims that only this writer knew stayed lost and their ids could run again, and an exception left the host's own claims unwritten too.

--- a/buckthornhold/coordination/claim_writers.py
+++ b/buckthornhold/coordination/claim_writers.py
@@ -293,6 +293,22 @@
                 operation.done.set_result(failure)
 
 
+async def rewrite_lost(
+    writers: list[ClaimWriter], report_error: Callable[[Exception], None]
+) -> list[ClaimWriter]:
+    """Write what shards have lost; return the writers that failed."""
+    failed = []
+    for writer in writers:
+        try:
+            if not await writer.rewrite_lost():
+                failed.append(writer)
+        except Exception as error:
+            # The other shards must not lose their claims for it.
+            report_error(error)
+            failed.append(writer)
+    return failed
+
+
 def decide(
     claim: claim_records.Claim,
     held: claim_records.Claim | None,
--- a/buckthornhold/coordination/claims.py
+++ b/buckthornhold/coordination/claims.py
@@ -220,12 +220,14 @@
         try:
             await asyncio.sleep(random.uniform(0, spread))
             # What this host has written for others, then its own claims.
-            for writer in list(self._writers.values()):
-                await writer.rewrite_lost()
+            writers = list(self._writers.values())
             claims = self._recent.list_all()
             for _ in range(REWRITE_ATTEMPTS):
+                writers = await claim_writers.rewrite_lost(
+                    writers, self._report_error
+                )
                 claims = await self._submit_known(claims)
-                if not claims:
+                if not claims and not writers:
                     return
                 await asyncio.sleep(spread)
         except Exception as error:
@@ -233,7 +235,8 @@
             return
         self._report_error(
             RuntimeError(
-                f"{len(claims)} claims were not written to the restored store"
+                f"{len(claims)} claims and {len(writers)} shards were not "
+                "written to the restored store"
             )
         )
 
--- a/features/steps/store_era_claim_steps.py
+++ b/features/steps/store_era_claim_steps.py
@@ -205,3 +205,47 @@
 @behave.then("eras: they are acquired at once")
 def check_acquired(context):
     assert context.decisions[0].state is ClaimState.ACQUIRED
+
+
+@behave.when(
+    "eras: writer 2 alone knows a lost claim and its first read {fails}"
+)
+def lose_known_claim(context, fails):
+    writers = context.writers
+    writers.platform._era = 0
+    store = writers.stores[1]
+    get = store.get
+
+    async def get_once(key):
+        store.get = get
+        if fails == "raises":
+            raise ValueError("not an entry")
+        return reasons.Failure(
+            reason=reasons.Reason.STORE_UNAVAILABLE, step="get"
+        )
+
+    async def run():
+        await store.get("anything")
+        copy = writers.platform.copies.take()
+        await writers.acquire(1, "id")
+        await writers.acquire(2, "id")
+        await writers.claims[0].close()
+        writers.platform.restore_state(copy)
+        await writers.stores[2].get("anything")
+        store.get = get_once
+        store.eras.learn(1)
+        await asyncio.sleep(REWRITE_SECONDS + 0.2)
+        context.decision = await writers.acquire(3, "id")
+        for claimer in writers.claims:
+            await claimer.close()
+
+    with unittest.mock.patch.object(
+        claim_writers, "REWRITE_SECONDS", REWRITE_SECONDS
+    ):
+        writers.run(run())
+
+
+@behave.then("eras: writer 3 finds the claim held by writer 1")
+def check_held_by_first(context):
+    assert context.decision.state is ClaimState.HELD, context.decision
+    assert context.decision.claim.host == "host-0"
--- a/features/store_eras/claims.feature
+++ b/features/store_eras/claims.feature
@@ -32,3 +32,14 @@
     Given eras: 2 claim writers of a store, and a copy of it
     When eras: the store goes back and ids are made after it
     Then eras: they are acquired at once
+
+  # Whoever acquired the id has ended, so that only this writer knows it.
+  Scenario Outline: A shard's lost claims are written again after a failed read
+    Given 3 claim writers of one store
+    When eras: writer 2 alone knows a lost claim and its first read <fails>
+    Then eras: writer 3 finds the claim held by writer 1
+
+    Examples:
+      | fails   |
+      | fails   |
+      | raises  |
