Tell other hosts usage totals of older windows

The topic's version was the latest window, so that a total of an older one, which a later holder adds, reached no other host, and neither did one that a host had kept while it was behind. The version rises with each total now, and by one more if the sender lacks some. Both scenarios failed before the change and pass with it.

--- a/buckthornhold/usage_totals.py
+++ b/buckthornhold/usage_totals.py
@@ -36,11 +36,15 @@
         )
         self._is_needed = is_needed
         self._totals: dict[int, dict[str, int]] = {}
+        self._version = 0
 
     @property
     def version(self) -> int:
-        """The latest window with a total, 0 if there is none."""
-        return max(self._totals, default=0)
+        """The topic's version: it rises with each total, also of old windows.
+
+        A later holder may add windows that are older than the latest one.
+        """
+        return self._version
 
     def register_topic(self, broadcast: broadcasts.Broadcasts) -> None:
         """Let all hosts know the totals."""
@@ -60,6 +64,7 @@
         if not self._is_needed() or window in self._totals:
             return False
         self._totals[window] = counts
+        self._version = max(self._version + 1, window)
         self._prune()
         return True
 
@@ -71,13 +76,20 @@
     def _apply_document(self, document: broadcasts.Document) -> bool:
         if document.version <= self.version:
             return False
-        totals = json.loads(document.body)
+        totals = {
+            int(window): counts
+            for window, counts in json.loads(document.body).items()
+        }
         for window, counts in totals.items():
-            self._totals.setdefault(int(window), counts)
+            self._totals.setdefault(window, counts)
+        self._version = document.version
         self._prune()
+        if self._totals.keys() - totals.keys():
+            # The sender asks only for a higher version.
+            self._version += 1
         return True
 
     def _prune(self) -> None:
-        oldest = self.version - self._retained
+        oldest = max(self._totals, default=0) - self._retained
         for window in [it for it in self._totals if it < oldest]:
             del self._totals[window]
--- a/features/steps/store_era_usage_steps.py
+++ b/features/steps/store_era_usage_steps.py
@@ -155,7 +155,10 @@
         host.usage.counts[window] = {"shop": 1}
     host.usage.find_current_window = lambda: last + 1
     host.summaries.read_time_of_day = lambda: (last + 2) * WINDOW_SECONDS
+    host.followers.append(context.holder)
     host.reporter._totals.add(last, {"shop": 1})
+    host.publish("usage-totals")
+    host.told = 0
     run(host, 4)
 
 
@@ -166,3 +169,30 @@
     reported = {window for window, _ in context.cloud.reports}
     assert reported == set(range(WINDOW, WINDOW + count)), reported
     assert context.other.told == count - 1, context.other.told
+
+
+@behave.then("eras: the first host knows all {count:d} totals")
+def check_known(context, count):
+    totals = context.holder.reporter._totals
+    windows = range(WINDOW, WINDOW + count)
+    assert all(totals.find(it) for it in windows), totals._totals
+
+
+@behave.when("eras: two hosts know one total each and exchange them")
+def exchange_totals(context):
+    hosts = (context.holder, context.other)
+    for number, host in enumerate(hosts):
+        host.reporter._totals.add(WINDOW + number, {"shop": 1})
+    # Whoever is behind pulls, as by probes.
+    for _ in range(2):
+        first, second = sorted(
+            hosts, key=lambda it: it.reporter._totals.version
+        )
+        first.apply(second.read())
+
+
+@behave.then("eras: each of them knows both totals")
+def check_exchanged(context):
+    for host in (context.holder, context.other):
+        totals = host.reporter._totals
+        assert totals.find(WINDOW) and totals.find(WINDOW + 1), totals._totals
--- a/features/store_eras/usage.feature
+++ b/features/store_eras/usage.feature
@@ -29,3 +29,10 @@
     Given eras: a holder of the duties and a host that follows it
     When eras: the other host takes over 7 windows of which it knows the last
     Then eras: it reported all 7 windows and announced each total once
+    And eras: the first host knows all 7 totals
+
+  # A host would take another total than the reported one for its own.
+  Scenario: A total that only the host behind has reaches the other one
+    Given eras: a holder of the duties and a host that follows it
+    When eras: two hosts know one total each and exchange them
+    Then eras: each of them knows both totals
