--- a/features/placements/decisions.feature
+++ b/features/placements/decisions.feature
@@ -35,6 +35,14 @@
       | x reads 5 b,x sees 8 c,y passes on to x as the previous build        | bc   | none |
       | x reads 9 c,y knew b and asks x through the previous build,y asks x  | c    | c    |
 
+    # 2**40 + 8: the store was restored from a copy and is in era 1.
+    Examples: a restored store
+      | steps                                                                        | x    | y    |
+      | x reads 9 b c,y reads 9 b c,x reads 1099511627784 b,x asks y                 | b    | bc   |
+      | x reads 9 b c,y reads 9 b c,x reads 1099511627784 b,y asks x                 | b    | b    |
+      | x reads 9 b,y reads 9 b,x reads 1099511627784,x asks y,y asks x              | none | none |
+      | x reads 9 b,y reads 9 b,x reads 1099511627784,y passes on to x as previous   | none | b    |
+
   Scenario: Hosts that exchange documents at random agree with the store
     Then placements: 3000 seeded runs of 5 hosts that write, remove, read, restart and exchange end with the store's documents
 
