--- a/buckthornhold/relay_upstreams.py
+++ b/buckthornhold/relay_upstreams.py
@@ -7,6 +7,7 @@
 
 from buckthornhold import backoffs
 from buckthornhold import cold_upstreams
+from buckthornhold import failing_upstreams
 from buckthornhold import upstream_directories
 from buckthornhold.coordination import pause_detectors
 from buckthornhold.peers import summaries_pb2
@@ -15,10 +16,6 @@
 OUTCOME_HALF_LIFE_SECONDS = 4.0
 #: Weight of outcomes below which an upstream's failures are not judged.
 MIN_OUTCOMES = 4.0
-#: An upstream is excluded if the failed share of its requests exceeds this
-#: one and exceeds the median share of the service's upstreams by this factor.
-MIN_EXCLUDED_FAILED_SHARE = 0.25
-EXCLUDED_FAILED_FACTOR = 2.5
 #: An upstream that has sent nothing for this long while requests are in flight
 #: is excluded, since a cut connection reports no error. A busy engine sends
 #: events of some stream all the time; a plain call has 0.6 s in all.
@@ -218,7 +215,7 @@
             for upstream in active
             if upstream.paused_until <= now and not upstream.is_silent(now)
         ]
-        return exclude_failing(healthy) or healthy or active
+        return failing_upstreams.exclude_failing(healthy) or healthy or active
 
     def find_retry_wait(self, service: str, regions=()) -> float:
         """Return the seconds until an upstream of the service may be used.
@@ -385,21 +382,3 @@
 def make_process_name(upstream: RelayUpstream) -> str:
     """Return the name of an upstream's process, as summaries use it."""
     return f"{upstream.name}/{upstream.record.started_at}"
-
-
-def exclude_failing(upstreams: list[RelayUpstream]) -> list[RelayUpstream]:
-    """Return the upstreams without those that fail more than the others."""
-    if len(upstreams) < 2:
-        return upstreams
-    shares = sorted(upstream.outcomes.failed_share for upstream in upstreams)
-    median = shares[(len(shares) - 1) // 2]
-    limit = max(MIN_EXCLUDED_FAILED_SHARE, median * EXCLUDED_FAILED_FACTOR)
-    healthy = [
-        upstream
-        for upstream in upstreams
-        if upstream.outcomes.failed_share <= limit
-    ]
-    # If most of them fail, the cause lies elsewhere.
-    if len(healthy) < math.ceil(len(upstreams) / 2):
-        return upstreams
-    return healthy
