--- a/buckthornhold/carriers.py
+++ b/buckthornhold/carriers.py
@@ -138,3 +138,15 @@
         failure.detail
     )
     return failure
+
+
+def make_broadcasts(host) -> broadcasts.Broadcasts:
+    """Return a host's broadcasts, which travel over its links."""
+    return broadcasts.Broadcasts(
+        table=host.members,
+        transport=GrpcCarrier(
+            peer_links=host.links, timeout=host.settings.push_timeout
+        ),
+        logger=host.logger,
+        counters=host.counters,
+    )
--- a/buckthornhold/daemons.py
+++ b/buckthornhold/daemons.py
@@ -50,9 +50,7 @@
 from buckthornhold import transfers
 from buckthornhold import upstreams
 from buckthornhold import versions
-from buckthornhold.coordination import broadcasts
 from buckthornhold.coordination import claims
-from buckthornhold.coordination import failure_detectors
 from buckthornhold.coordination import histories
 from buckthornhold.coordination import members
 from buckthornhold.coordination import pause_detectors
@@ -185,26 +183,8 @@
         address = self._settings.translate(self._settings.platform)
         self.store = self.make_store(self._session, address)
         self.history = histories.History(store=self.store, prefix=RULES_PREFIX)
-        self.prober = failure_detectors.FailureDetector(
-            table=self.members,
-            transport=probes.GrpcPeers(
-                peer_links=self.links, timeout=self._settings.probe_timeout
-            ),
-            pause_detector=self.pauses,
-            seeds=self._settings.seeds,
-            read_state=self._read_state,
-            interval=self._settings.probe_interval,
-            logger=self.logger,
-            counters=self.counters,
-        )
-        self.broadcasts = broadcasts.Broadcasts(
-            table=self.members,
-            transport=carriers.GrpcCarrier(
-                peer_links=self.links, timeout=self._settings.push_timeout
-            ),
-            logger=self.logger,
-            counters=self.counters,
-        )
+        self.prober = probes.make_prober(self, self._read_state)
+        self.broadcasts = carriers.make_broadcasts(self)
         self.members.add_digest(
             "facts",
             read=self.exchanges.read_digest,
--- a/buckthornhold/probes.py
+++ b/buckthornhold/probes.py
@@ -1,5 +1,6 @@
 """Probes over gRPC: how members reach each other."""
 
+from collections.abc import Callable
 from collections.abc import Iterable
 
 import grpc
@@ -222,3 +223,22 @@
         topics=dict(message.topics),
         digests=dict(message.digests),
     )
+
+
+def make_prober(
+    host, read_state: Callable[[], members.MemberState]
+) -> failure_detectors.FailureDetector:
+    """Return a host's failure detector, which probes over its links."""
+    config = host.settings
+    return failure_detectors.FailureDetector(
+        table=host.members,
+        transport=GrpcPeers(
+            peer_links=host.links, timeout=config.probe_timeout
+        ),
+        pause_detector=host.pauses,
+        seeds=config.seeds,
+        read_state=read_state,
+        interval=config.probe_interval,
+        logger=host.logger,
+        counters=host.counters,
+    )
--- a/buckthornhold/relay_hosts.py
+++ b/buckthornhold/relay_hosts.py
@@ -50,8 +50,6 @@
 from buckthornhold import traffic
 from buckthornhold import upstream_directories
 from buckthornhold import usages
-from buckthornhold.coordination import broadcasts
-from buckthornhold.coordination import failure_detectors
 from buckthornhold.coordination import members
 from buckthornhold.coordination import pause_detectors
 from buckthornhold.coordination import poison_detectors
@@ -222,26 +220,8 @@
         self.upstream_client = self._platform.make_upstream_client(
             upstream_session, self.memory
         )
-        self.prober = failure_detectors.FailureDetector(
-            table=self.members,
-            transport=probes.GrpcPeers(
-                peer_links=self.links, timeout=config.probe_timeout
-            ),
-            pause_detector=self.pauses,
-            seeds=config.seeds,
-            read_state=self._read_state,
-            interval=config.probe_interval,
-            logger=self.logger,
-            counters=self.counters,
-        )
-        self.broadcasts = broadcasts.Broadcasts(
-            table=self.members,
-            transport=carriers.GrpcCarrier(
-                peer_links=self.links, timeout=config.push_timeout
-            ),
-            logger=self.logger,
-            counters=self.counters,
-        )
+        self.prober = probes.make_prober(self, self._read_state)
+        self.broadcasts = carriers.make_broadcasts(self)
         self.configurations.register_topic(self.broadcasts)
         self.directory.register_topic(self.broadcasts)
         self.moves.register_topic(self.broadcasts)
