--- a/buckthornhold/standins/platforms.py
+++ b/buckthornhold/standins/platforms.py
@@ -8,6 +8,7 @@
 import pydantic
 
 from buckthornhold.standins import clouds
+from buckthornhold.standins import host_lists
 from buckthornhold.standins import servers
 from buckthornhold.standins import store_copies
 
@@ -61,24 +62,25 @@
         self._deleted: list[tuple[int, str]] = []
         self._changed = asyncio.Event()
         self._leases: dict[str, tuple[float, float]] = {}
-        self._hosts: dict[str, dict] = {}
-        self._notices: dict[str, dict] = {}
-        self._listings: list[tuple[float, dict]] = []
+        self._meter = {"reads": 0, "writes": 0, "watches": 0, "lists": 0}
+        self._host_list = host_lists.HostList(
+            hosts=options.get("hosts", []),
+            meter=self._meter,
+            read_faults=lambda: self.faults,
+        )
         self._cloud = clouds.Cloud(
             options=options,
-            hosts=self._hosts,
-            notices=self._notices,
-            record=self._record_listing,
+            hosts=self._host_list.hosts,
+            notices=self._host_list.notices,
+            record=self._host_list.record,
         )
-        self._meter = {"reads": 0, "writes": 0, "watches": 0, "lists": 0}
         self._window = [0, 0, 0]
         self._history: list[dict] = []
         self._weights_free_at = 0.0
-        for host in options.get("hosts", []):
-            self._hosts[host["host"]] = host
 
     def add_routes(self, router: web.UrlDispatcher) -> None:
         """Add the platform's routes."""
+        self._host_list.add_routes(router)
         router.add_get("/kv", self._list_entries)
         router.add_get("/kv/{key:.+}", self._get)
         router.add_put("/kv/{key:.+}", self._put)
@@ -86,15 +88,10 @@
         router.add_get("/watch", self._watch)
         router.add_post("/leases", self._grant_lease)
         router.add_post("/leases/{lease_id}/keep", self._keep_lease)
-        router.add_get("/hosts", self._list_hosts)
-        router.add_put("/hosts/{host}", self._put_host)
-        router.add_delete("/hosts/{host}", self._remove_host)
-        router.add_post("/notices", self._give_notice)
         router.add_get("/cloud/offers", self._list_offers)
         router.add_put("/cloud/orders/{order_id}", self._order_host)
         router.add_get("/cloud/history", self._show_orders)
         router.add_delete("/cloud/hosts/{host}", self._release_host)
-        router.add_put("/hosts/{host}/serves", self._put_serves)
         router.add_get("/weights/{model}/{version}", self._load_weights)
         router.add_get("/meter", self._show_meter)
         router.add_get("/history", self._show_history)
@@ -311,60 +308,6 @@
         self._leases[lease_id] = (time.monotonic() + ttl, ttl)
         return self._answer_write(request, {})
 
-    async def _list_hosts(self, request: web.Request) -> web.Response:
-        self._meter["lists"] += 1
-        if self.faults.list_down:
-            return web.json_response({"detail": "down"}, status=503)
-        now = time.monotonic()
-        if not self._listings:
-            self._record_listing()
-        while (
-            len(self._listings) > 1
-            and self._listings[1][0] <= now - self.faults.list_lag
-        ):
-            self._listings.pop(0)
-        return web.json_response(self._listings[0][1])
-
-    def _record_listing(self) -> None:
-        listing = {
-            "hosts": list(self._hosts.values()),
-            "notices": list(self._notices.values()),
-        }
-        self._listings.append((time.monotonic(), listing))
-
-    async def _put_host(self, request: web.Request) -> web.Response:
-        host = await request.json()
-        self._hosts[request.match_info["host"]] = host
-        self._record_listing()
-        return web.json_response({})
-
-    async def _remove_host(self, request: web.Request) -> web.Response:
-        self._hosts.pop(request.match_info["host"], None)
-        self._notices.pop(request.match_info["host"], None)
-        self._record_listing()
-        return web.json_response({})
-
-    async def _give_notice(self, request: web.Request) -> web.Response:
-        body = await request.json()
-        host = self._hosts[body["host"]]
-        self._hosts[body["host"]] = {**host, "state": "leaving"}
-        self._notices[body["host"]] = {
-            "host": body["host"],
-            "incarnation": host["incarnation"],
-            "seconds_left": body["seconds_left"],
-        }
-        self._record_listing()
-        return web.json_response({})
-
-    async def _put_serves(self, request: web.Request) -> web.Response:
-        host = request.match_info["host"]
-        if host not in self._hosts:
-            return web.json_response({"detail": "not listed"}, status=404)
-        serves = (await request.json())["serves"]
-        self._hosts[host] = {**self._hosts[host], "serves": serves}
-        self._record_listing()
-        return web.json_response({})
-
     async def _list_offers(self, request: web.Request) -> web.Response:
         if self.faults.cloud_down:
             return web.json_response({"detail": "down"}, status=503)
--- a/testbed/relay_fleets.py
+++ b/testbed/relay_fleets.py
@@ -10,6 +10,7 @@
 from buckthornhold import relay_hosts
 from buckthornhold import relay_settings
 from buckthornhold.platform import adapters
+from buckthornhold.standins import users_clouds
 from buckthornhold.standins import users_platforms
 from testbed import dark_listeners
 from testbed import ports
@@ -36,7 +37,7 @@
     ) -> None:
         self.loop = asyncio.new_event_loop()
         self.store = users_platforms.WireStore()
-        self.cloud = users_platforms.WireCloud()
+        self.cloud = users_clouds.WireCloud()
         self.workers: dict[str, users_platforms.WireWorker] = {}
         self.hosts: list[relay_hosts.RelayHost] = []
         self.version = 0
--- a/testbed/soak.py
+++ b/testbed/soak.py
@@ -18,7 +18,7 @@
 import tempfile
 import time
 
-from buckthornhold.standins import users_platforms
+from buckthornhold.standins import users_clouds
 from testbed import soak_callers
 from testbed import soak_fleets
 from testbed import soak_histories
@@ -309,7 +309,7 @@
     return found
 
 
-def list_shared_tokens(calls: list[users_platforms.CloudCall]) -> list[str]:
+def list_shared_tokens(calls: list[users_clouds.CloudCall]) -> list[str]:
     """Return the fencing tokens under which two holders have acted."""
     holders = collections.defaultdict(set)
     for call in calls:
