Give the fake of upstreams in the relay steps the allowed ones

The selector lists them itself since it counts cold ones by the move. The scenario 'A service without upstreams' failed without it and passes now.

--- a/features/steps/relay_path_steps.py
+++ b/features/steps/relay_path_steps.py
@@ -90,6 +90,7 @@
     host.retry_wait_seconds = 0.0
     host.upstreams = types.SimpleNamespace(
         list_all=lambda: upstreams,
+        list_allowed=lambda service, regions: upstreams,
         list_service=lambda service, regions: upstreams,
         find_retry_wait=lambda service, regions: host.retry_wait_seconds,
         find_backoff_wait=lambda service, regions: 0.0,
