Keep the cases under review/ as they were

Cause: the split of the stand-in moved a class that a case looks up. Change: the case's file is restored, the stand-in offers the class.

--- a/buckthornhold/standins/users_platforms.py
+++ b/buckthornhold/standins/users_platforms.py
@@ -13,6 +13,7 @@
 
 from buckthornhold.standins import raw_answers
 from buckthornhold.standins import store_copies
+from buckthornhold.standins import users_clouds
 
 SEAL = "Server-Seal"
 ERA = "Store-Era"
@@ -20,6 +21,9 @@
 #: Pause between the events of a slow stream.
 SLOW_EVENT_SECONDS = 0.15
 
+#: The cases under review/ look the cloud up here.
+WireCloud = users_clouds.WireCloud
+
 
 class WireStore:
     """Keys with revisions, leases and watches.
--- a/review/harness/deployments.py
+++ b/review/harness/deployments.py
@@ -22,7 +22,6 @@
 from aiohttp import web
 import yarl
 
-from buckthornhold.standins import users_clouds
 from buckthornhold.standins import users_platforms
 from testbed import ports
 
@@ -116,7 +115,7 @@
     def __init__(self, *, hosts: int, record: Record, cloud=None) -> None:
         self.record = record
         self.store = users_platforms.WireStore()
-        self.cloud = cloud or users_clouds.WireCloud()
+        self.cloud = cloud or users_platforms.WireCloud()
         self.workers: dict[str, users_platforms.WireWorker] = {}
         self.processes: list[subprocess.Popen | None] = [None] * hosts
         self.settings: list[dict] = []
