Divide a workspace's rate among hosts by their demand (in progress)

Cause: levels oscillate at 9, 80 and 390 hosts and exceed the bound.

Constants are still being compared.

--- a/buckthornhold/quotas.py
+++ b/buckthornhold/quotas.py
@@ -7,11 +7,16 @@
 summaries is assumed to use an equal share of the limit.
 """
 
+import collections
 from collections.abc import Callable
+from collections.abc import Mapping
+import dataclasses
 import math
+import random
 import time
 
 from buckthornhold import routes
+from buckthornhold.scheduling import shared_rates
 
 #: Lower bound of the Retry-After that a refused caller gets.
 MIN_RETRY_AFTER_SECONDS = 0.2
@@ -30,6 +35,55 @@
 #: Level that a refused caller waits for, and least depth of a bucket, in
 #: seconds of refill.
 MIN_LEVEL_SECONDS = 0.1
+#: How long a workspace counts as limited after the last time that it was, so
+#: that one at its limit doesn't change its state with each plan.
+LIMITED_SECONDS = 4.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Use:
+    """Units of a limit since a process started.
+
+    ``requested`` are by urgency, those of small requests by
+    ``shared_rates.SMALL``. It is empty if the sender doesn't report them.
+    """
+
+    admitted: float
+    requested: Mapping[int, float] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class LimitChange:
+    """A workspace that became limited, or no longer is.
+
+    ``shares`` are the parts of the requests that are admitted, by urgency;
+    ``age`` is that of the other hosts' figures in seconds, None without any.
+    """
+
+    workspace: str
+    limited: bool
+    shares: Mapping[int, float]
+    age: float | None
+
+
+@dataclasses.dataclass
+class _OwnUse:
+    """This host's units of a shared rate since its process started."""
+
+    admitted: float = 0.0
+    requested: collections.Counter[int] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    limited: bool = False
+    limited_at: float = -math.inf
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _RemoteUse:
+    """A process's last report and when its units were counted."""
+
+    use: Use
+    counted_at: float
 
 
 class _TokenBucket:
@@ -85,7 +139,20 @@
         count_hosts: Callable[[], int] = lambda: 1,
         read_limit_share: Callable[[], float] = lambda: 1.0,
         clock: Callable[[], float] = time.monotonic,
+        shared: bool = False,
+        overage: float = 0.0,
+        slack: float = 0.0,
+        draw: random.Random | None = None,
+        notify: Callable[[LimitChange], None] = lambda _: None,
     ) -> None:
+        self._shared = shared
+        self._overage = overage
+        self._slack = slack
+        self._draw = draw or random.Random()
+        self._notify = notify
+        self._rates: dict[str, shared_rates.SharedRate] = {}
+        self._own_uses: dict[str, _OwnUse] = {}
+        self._remote_uses: dict[tuple[str, int], dict[str, _RemoteUse]] = {}
         self._window_seconds = window_seconds
         self._count_hosts = count_hosts
         self._read_limit_share = read_limit_share
@@ -93,15 +160,27 @@
         self._buckets: dict[str, _TokenBucket] = {}
         self._remote_usage: dict[tuple[str, int], dict[str, float]] = {}
 
-    def admit(self, workspace: routes.Workspace, units: float) -> float:
+    def admit(
+        self,
+        workspace: routes.Workspace,
+        units: float,
+        *,
+        urgency: int = 0,
+        returning: bool = False,
+    ) -> float:
         """Admit a request and return 0, or return the seconds to wait.
 
         A request may be larger than what is left; the level falls below zero
         and later requests wait. Otherwise small requests would starve large
-        ones.
+        ones. ``urgency`` and ``returning``, whether the request was refused
+        before, count for shared rates only.
         """
         if not workspace.rate:
             return 0.0
+        if self._shared:
+            return self._admit_shared(
+                workspace, units, urgency=urgency, returning=returning
+            )
         bucket = self._refill(workspace)
         if bucket.level <= 0.0:
             rate = self._compute_refill_rate(workspace)
@@ -116,6 +195,11 @@
 
     def refund(self, workspace: routes.Workspace, units: float) -> None:
         """Give back the units of a request that was not run."""
+        rate = self._rates.get(workspace.name)
+        if rate is not None:
+            rate.refund(units, now=self._clock())
+            self._own_uses[workspace.name].admitted -= units
+            return
         bucket = self._buckets.get(workspace.name)
         if bucket is None:
             return
@@ -158,11 +242,145 @@
                 bucket.level -= total - previous
                 bucket.remote_admitted += total - previous
 
+    def publish_uses(
+        self, workspaces: tuple[routes.Workspace, ...]
+    ) -> dict[str, Use]:
+        """Return the units since the process started, by workspace.
+
+        Must be called once for each summary, as ``publish_admitted``.
+        """
+        if not self._shared:
+            admitted = self.publish_admitted(workspaces)
+            return {name: Use(admitted=it) for name, it in admitted.items()}
+        uses = {}
+        for workspace in workspaces:
+            own = self._own_uses.get(workspace.name)
+            if own is None or not workspace.rate:
+                continue
+            self._note_change(workspace)
+            uses[workspace.name] = Use(
+                admitted=own.admitted, requested=dict(own.requested)
+            )
+        return uses
+
+    def apply_remote_uses(
+        self,
+        process: tuple[str, int],
+        uses: dict[str, Use],
+        *,
+        age: float = 0.0,
+        aggregated: bool = False,
+    ) -> None:
+        """Apply what another process, or several, reported.
+
+        ``age`` is the seconds since the units were counted, ``aggregated``
+        whether they are those of all other hosts.
+        """
+        if not self._shared:
+            self.apply_remote_usage(
+                process, {name: use.admitted for name, use in uses.items()}
+            )
+            return
+        counted_at = self._clock() - age
+        reported = self._remote_uses.setdefault(process, {})
+        for name, use in uses.items():
+            previous = reported.get(name)
+            if previous is not None and counted_at <= previous.counted_at:
+                continue
+            reported[name] = _RemoteUse(use=use, counted_at=counted_at)
+            rate = self._rates.get(name)
+            if rate is None:
+                continue
+            if previous is None:
+                if aggregated:
+                    rate.assume_planned(until=counted_at)
+                continue
+            rate.apply_others(
+                use.admitted - previous.use.admitted,
+                {
+                    kind: units - previous.use.requested.get(kind, 0.0)
+                    for kind, units in use.requested.items()
+                },
+                source=process,
+                since=previous.counted_at,
+                until=counted_at,
+            )
+
     def retain(self, processes: set[tuple[str, int]]) -> None:
         """Forget the reported usage of all processes but these."""
+        for process in self._remote_uses.keys() - processes:
+            del self._remote_uses[process]
         for process in self._remote_usage.keys() - processes:
             del self._remote_usage[process]
 
+    def _admit_shared(
+        self,
+        workspace: routes.Workspace,
+        units: float,
+        *,
+        urgency: int,
+        returning: bool,
+    ) -> float:
+        now = self._clock()
+        rate = self._rates.get(workspace.name)
+        if rate is None:
+            rate = shared_rates.SharedRate(draw=self._draw, now=now)
+            self._rates[workspace.name] = rate
+            self._own_uses[workspace.name] = _OwnUse()
+        own = self._own_uses[workspace.name]
+        ticket = shared_rates.Ticket(
+            units=units,
+            urgency=urgency,
+            small=workspace.counts_tokens and units <= workspace.plain_tokens,
+            returning=returning,
+        )
+        own.requested[ticket.kind] += ticket.demand
+        wait = rate.admit(
+            ticket,
+            limit=self._make_limit(workspace),
+            fleet=self._view_fleet(),
+            now=now,
+        )
+        if not wait:
+            own.admitted += units
+        return wait
+
+    def _make_limit(self, workspace: routes.Workspace) -> shared_rates.Limit:
+        return shared_rates.Limit(
+            rate=workspace.rate,
+            burst=workspace.burst,
+            window=self._window_seconds,
+            overage=self._overage,
+            slack=self._slack,
+        )
+
+    def _view_fleet(self) -> shared_rates.FleetView:
+        return shared_rates.FleetView(
+            host_count=max(1, self._count_hosts()),
+            limit_share=self._read_limit_share(),
+        )
+
+    def _note_change(self, workspace: routes.Workspace) -> None:
+        """Tell when a workspace becomes limited, or is no longer."""
+        now = self._clock()
+        own = self._own_uses[workspace.name]
+        rate = self._rates[workspace.name]
+        rate.update(self._make_limit(workspace), self._view_fleet(), now)
+        if rate.limited:
+            own.limited_at = now
+        limited = now - own.limited_at < LIMITED_SECONDS
+        if limited == own.limited:
+            return
+        own.limited = limited
+        self._notify(
+            LimitChange(
+                workspace=workspace.name,
+                limited=limited,
+                shares=dict(rate.shares),
+                age=rate.compute_age(now),
+            )
+        )
+
     def _compute_refill_rate(self, workspace: routes.Workspace) -> float:
         """Return the units that a bucket gains per second."""
         remaining_burst = workspace.burst - compute_depth(workspace)
