Exchange requested units by urgency and use shared rates in relay hosts

Cause: hosts told each other what they admitted only, so none knew how much was asked of the fleet.

Change: WorkspaceUse carries the requested units by urgency, also through aggregates; Quotas divides rates by them when scheduling.shared_limits is on; urgency and whether a request returns reach it.

--- a/buckthornhold/counters.py
+++ b/buckthornhold/counters.py
@@ -29,6 +29,8 @@
     "leases.lapsed",
     "leases.renewals_failed",
     "leases.taken",
+    "limits.ended",
+    "limits.reached",
     "members.changed",
     "members.doubted",
     "streams.carried",
--- a/buckthornhold/quotas.py
+++ b/buckthornhold/quotas.py
@@ -16,6 +16,7 @@
 import time
 
 from buckthornhold import routes
+from buckthornhold.peers import summaries_pb2
 from buckthornhold.scheduling import shared_rates
 
 #: Lower bound of the Retry-After that a refused caller gets.
@@ -38,6 +39,8 @@
 #: How long a workspace counts as limited after the last time that it was, so
 #: that one at its limit doesn't change its state with each plan.
 LIMITED_SECONDS = 4.0
+#: Urgencies in a log line.
+MAX_LOGGED_SHARES = 10
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -65,6 +68,19 @@
     shares: Mapping[int, float]
     age: float | None
 
+    def describe(self) -> str:
+        """Return the text of the log line."""
+        state = "is limited" if self.limited else "is no longer limited"
+        shares = ", ".join(
+            f"{'small' if kind == shared_rates.SMALL else kind}: {share:.2f}"
+            for kind, share in sorted(self.shares.items())[:MAX_LOGGED_SHARES]
+        )
+        age = "unknown" if self.age is None else f"{self.age:.1f} s old"
+        return (
+            f"{self.workspace} {state}, admitted by urgency: "
+            f"{shares or 'all'}; other hosts' figures {age}"
+        )
+
 
 @dataclasses.dataclass
 class _OwnUse:
@@ -157,6 +173,7 @@
         self._count_hosts = count_hosts
         self._read_limit_share = read_limit_share
         self._clock = clock
+        self._started_at = clock()
         self._buckets: dict[str, _TokenBucket] = {}
         self._remote_usage: dict[tuple[str, int], dict[str, float]] = {}
 
@@ -324,7 +341,9 @@
         now = self._clock()
         rate = self._rates.get(workspace.name)
         if rate is None:
-            rate = shared_rates.SharedRate(draw=self._draw, now=now)
+            rate = shared_rates.SharedRate(
+                draw=self._draw, now=self._started_at
+            )
             self._rates[workspace.name] = rate
             self._own_uses[workspace.name] = _OwnUse()
         own = self._own_uses[workspace.name]
@@ -418,3 +437,28 @@
 def compute_depth(workspace: routes.Workspace) -> float:
     """Return the units of a workspace's limit that may be admitted at once."""
     return min(workspace.burst, BURST_SECONDS * workspace.rate)
+
+
+def read_uses(summary: summaries_pb2.Summary) -> dict[str, Use]:
+    """Return the units in a summary, by workspace."""
+    uses = {}
+    for use in summary.uses:
+        requested = dict(use.requested)
+        if use.small_requested:
+            requested[shared_rates.SMALL] = use.small_requested
+        uses[use.workspace] = Use(admitted=use.units, requested=requested)
+    return uses
+
+
+def write_uses(
+    summary: summaries_pb2.Summary, uses: Mapping[str, Use]
+) -> None:
+    """Add the units of workspaces to a summary."""
+    for name, use in uses.items():
+        requested = dict(use.requested)
+        summary.uses.add(
+            workspace=name,
+            units=use.admitted,
+            small_requested=requested.pop(shared_rates.SMALL, 0.0),
+            requested=requested,
+        )
--- a/buckthornhold/received_summaries.py
+++ b/buckthornhold/received_summaries.py
@@ -35,6 +35,12 @@
         ("time_of_day", summary.time_of_day),
         ("store_age", summary.store_age),
         *(("uses", use.units) for use in summary.uses),
+        *(("uses", use.small_requested) for use in summary.uses),
+        *(
+            ("uses", units)
+            for use in summary.uses
+            for units in use.requested.values()
+        ),
         *(("demands", demand) for demand in summary.demands.values()),
     ]
     for name, figure in figures:
--- a/buckthornhold/relay_hosts.py
+++ b/buckthornhold/relay_hosts.py
@@ -146,6 +146,10 @@
             window_seconds=config.bounds.limit_window,
             count_hosts=self.count_hosts,
             read_limit_share=self._compute_limit_share,
+            shared=config.scheduling.shared_limits,
+            overage=config.bounds.limit_overage,
+            slack=config.bounds.limit_slack,
+            notify=self._handle_limit_change,
         )
         self.usage = usages.UsageCounter(
             window_seconds=config.bounds.usage_window,
@@ -342,21 +346,26 @@
             reason=failure.reason.value,
         ).info(f"retrying: {failure.detail}")
 
-    def apply_summary(self, summary: summaries_pb2.Summary) -> None:
-        """Apply another host's summary to the parts that use it."""
-        process = (summary.host, summary.incarnation)
-        uses = {use.workspace: use.units for use in summary.uses}
-        self.quotas.apply_remote_usage(process, uses)
+    def apply_summary(
+        self, summary: summaries_pb2.Summary, age: float = 0.0
+    ) -> None:
+        """Apply another host's summary to the parts that use it.
+
+        ``age`` is the time since the figures of an aggregate were taken.
+        """
+        self.quotas.apply_remote_uses(
+            (summary.host, summary.incarnation),
+            quotas.read_uses(summary),
+            age=age,
+            aggregated=summary.hosts > 0,
+        )
         self.upstreams.apply_summary(summary)
         self.upstreams.update_remote_load()
 
     def _fill_summary(self, summary: summaries_pb2.Summary) -> None:
         current = self.configurations.current
-        admitted = self.quotas.publish_admitted(
-            current.workspaces if current else ()
-        )
-        for workspace, units in admitted.items():
-            summary.uses.add(workspace=workspace, units=units)
+        uses = self.quotas.publish_uses(current.workspaces if current else ())
+        quotas.write_uses(summary, uses)
         summary.demands.update(self.demands.read())
 
     def count_hosts(self) -> int:
@@ -371,6 +380,11 @@
         reporting = self.summaries.count_reporting_hosts() + 1
         return reporting / (reporting + silent)
 
+    def _handle_limit_change(self, change: quotas.LimitChange) -> None:
+        name = "limits.reached" if change.limited else "limits.ended"
+        self.counters.count_event(name)
+        self.logger.bind(step="limit").info(change.describe())
+
     def _read_state(self) -> members.MemberState:
         if self._stopping:
             return members.MemberState.LEAVING
--- a/buckthornhold/relay_requests.py
+++ b/buckthornhold/relay_requests.py
@@ -15,6 +15,7 @@
 from buckthornhold import request_bodies
 from buckthornhold import request_contracts
 from buckthornhold import routes
+from buckthornhold.scheduling import returns
 
 #: Priority of a request where neither workspace nor route sets one.
 USUAL_URGENCY = 5
@@ -68,6 +69,7 @@
 
     def __init__(self, *, host) -> None:
         self._host = host
+        self._returns = returns.ReturnDetector()
 
     def find_route(
         self, host_name: str, path: str, key: str | None
@@ -129,8 +131,16 @@
         service = route.choose_service()
         workload = make_workload(parameters)
         units = self._compute_units(workspace, parameters)
+        urgency = route.urgency
+        if workspace is not None and workspace.urgency is not None:
+            urgency = workspace.urgency
         if workspace is not None:
-            wait = self._host.quotas.admit(workspace, units)
+            wait = self._host.quotas.admit(
+                workspace,
+                units,
+                urgency=urgency,
+                returning=self._returns.check(route.name, seconds),
+            )
             if wait:
                 return reasons.Failure(
                     reason=reasons.Reason.LIMIT_REACHED,
@@ -142,9 +152,6 @@
                     retry_after=wait,
                 )
         self._record_demand(service, workload)
-        urgency = route.urgency
-        if workspace is not None and workspace.urgency is not None:
-            urgency = workspace.urgency
         return relay_messages.RelayRequest(
             contract=request_contracts.RequestContract(
                 request_id=parameters.request_id,
--- a/buckthornhold/scheduling/shared_rates.py
+++ b/buckthornhold/scheduling/shared_rates.py
@@ -45,6 +45,8 @@
 RISE_SIGMAS = 2.5
 RISE_REQUESTS = 1.2
 SHARE_REQUESTS = 2.0
+SILENCE_SECONDS = 1.5
+MAX_AGE_SECONDS = 3.0
 CHANGE_REQUESTS = 3.0
 #: Highest planned rate, relative to the target, while the window has room.
 MAX_PLAN_FACTOR = 1.3
@@ -189,7 +191,7 @@
         #: When the latest figures of the others were taken.
         self._known_at: float | None = None
         self._sources: dict[Hashable, float] = {}
-        self._planned_slot = -1
+        self._planned_slot = int(now / SLOT_SECONDS) - 1
         self._shares: dict[int, float] = {}
         #: Units that this host admits by the plan since the others' latest
         #: figures, and those that it may admit beyond that.
@@ -337,9 +339,7 @@
             least = GUARD_START * max(1.0, self._reserve)
             return max(GUARD_FLOOR, min(1.0, self._level / least))
         admitted = sum(
-            slot.own
-            for index, slot in self._slots.items()
-            if index > known
+            slot.own for index, slot in self._slots.items() if index > known
         )
         end = self._expected + self._reserve
         start = self._expected + GUARD_START * self._reserve
@@ -360,14 +360,22 @@
         oldest = index - int(limit.window / SLOT_SECONDS) - LEAVING_SLOTS - 1
         for old in [it for it in self._slots if it < oldest]:
             del self._slots[old]
+        passed = min(40, index - self._planned_slot)
         self._planned_slot = index
-        self._plan(limit, fleet, index, now)
+        self._plan(limit, fleet, index, now, passed=passed)
         return slot
 
     def _plan(
-        self, limit: Limit, fleet: FleetView, index: int, now: float
+        self,
+        limit: Limit,
+        fleet: FleetView,
+        index: int,
+        now: float,
+        *,
+        passed: int,
     ) -> None:
         slots = int(limit.window / SLOT_SECONDS)
+        self._note_limit_share(fleet.limit_share, index)
         target = TARGET_SHARE * limit.sum / limit.window
         start = int(self._started_at / SLOT_SECONDS)
         known = (
@@ -403,9 +411,13 @@
             (MOST_SHARE * limit.sum - total) / CORRECTION_SECONDS
         )
         rate = max(0.0, min(max(rate, least), most))
-        demands = self._measure_demands(known)
+        age = self.compute_age(now)
+        informed = age is not None and age <= MAX_AGE_SECONDS
+        demands = self._measure_demands(
+            known if informed else index - 1, fleet
+        )
         demand = sum(demands.values())
-        change = self._measure_change(index, known)
+        change = self._measure_change(index, known) if informed else 1.0
         self._shares = divide_rate(
             rate * fleet.limit_share,
             {kind: change * units for kind, units in demands.items()},
@@ -417,15 +429,24 @@
         slot = self._slots[index]
         slot.planned = planned * SLOT_SECONDS
         slot.limited = self.limited
-        slot.limit_share = fleet.limit_share
-        own_share = self._measure_own_share(known, fleet)
-        age = self.compute_age(now) or 0.0
-        self._expected = own_share * fleet.limit_share * planned * age
+        own_share = (
+            self._measure_own_share(known, fleet)
+            if informed
+            else 1 / fleet.host_count / fleet.limit_share
+        )
+        self._expected = (
+            own_share
+            * fleet.limit_share
+            * (planned if informed else target)
+            * (age if informed else MAX_AGE_SECONDS)
+        )
         room = max(0.0, limit.bound - total) * GUARD_SHARE
         typical = self._mean_square / max(1.0, self._mean_units)
         noise = math.sqrt(typical * self._expected)
         least = GUARD_SIGMAS * noise
         load = min(1.0, demand / max(1.0, fleet.limit_share * target))
+        if not informed:
+            load = 0.7
         self._reserve = max(
             HOT * noise * load * load,
             min(
@@ -433,23 +454,25 @@
                 room / fleet.host_count - typical / 2,
             ),
         )
-        refill = own_share * fleet.limit_share * (
-            REFILL_FACTOR * planned if self.limited else target
+        refill = (
+            own_share
+            * fleet.limit_share
+            * (REFILL_FACTOR * planned if self.limited else target)
         )
         self._level = min(
             self._reserve,
             max(-MAX_DEBT_SECONDS * refill, self._level)
-            + refill * SLOT_SECONDS,
-        )
-        usual = (
-            own_share * demand * RISE_SECONDS / max(1.0, self._mean_units)
+            + refill * SLOT_SECONDS * passed,
         )
+        usual = own_share * demand * RISE_SECONDS / max(1.0, self._mean_units)
         count = self._count_own(index - 1, RISE_SECONDS)
-        self._rises = count > usual + RISE_SIGMAS * math.sqrt(usual) + (
-            RISE_REQUESTS
-        )
+        self._rises = not informed or count > usual + RISE_SIGMAS * math.sqrt(
+            usual
+        ) + (RISE_REQUESTS)
         self._known_part = (
-            min(1.0, max(0.25, max(1.0, usual) / count)) if self._rises else 1.0
+            min(1.0, max(0.25, max(1.0, usual) / max(1.0, count)))
+            if self._rises
+            else 1.0
         )
 
     def _count_own(self, last: int, seconds: float) -> float:
@@ -484,15 +507,31 @@
                 )
         return min(amounts, default=math.inf)
 
-    def _measure_demands(self, known: int) -> collections.Counter[int]:
+    def _note_limit_share(self, limit_share: float, index: int) -> None:
+        """Store the part of the limit with the slots that it applies to.
+
+        Silence of other hosts is noticed after some time, so it also applies
+        to the slots of that time.
+        """
+        slot = self._slots[index]
+        slot.limit_share = limit_share
+        if self._slots.get(index - 1, slot).limit_share <= limit_share:
+            return
+        for at in range(index - int(SILENCE_SECONDS / SLOT_SECONDS), index):
+            if at in self._slots:
+                self._slots[at].limit_share = limit_share
+
+    def _measure_demands(
+        self, known: int, fleet: FleetView
+    ) -> collections.Counter[int]:
         """Return the units a second that are requested, by class."""
-        usual = self._sum_demands(known, DEMAND_SECONDS)
-        latest = self._sum_demands(known, JUMP_SECONDS)
+        usual = self._sum_demands(known, DEMAND_SECONDS, fleet)
+        latest = self._sum_demands(known, JUMP_SECONDS, fleet)
         ratio = sum(latest.values()) / max(1.0, sum(usual.values()))
         return latest if not 1 / JUMP <= ratio <= JUMP else usual
 
     def _sum_demands(
-        self, known: int, seconds: float
+        self, known: int, seconds: float, fleet: FleetView
     ) -> collections.Counter[int]:
         demands: collections.Counter[int] = collections.Counter()
         count = int(seconds / SLOT_SECONDS)
@@ -500,9 +539,12 @@
             slot = self._slots.get(at)
             if slot is None:
                 continue
-            for requested in (slot.own_requested, slot.others_requested):
-                for kind, units in requested.items():
-                    demands[kind] += units / seconds
+            # What hosts that are silent now requested then counts no more.
+            part = min(1.0, fleet.limit_share / slot.limit_share)
+            for kind, units in slot.own_requested.items():
+                demands[kind] += units / seconds
+            for kind, units in slot.others_requested.items():
+                demands[kind] += part * units / seconds
         return demands
 
     def _measure_own_share(self, known: int, fleet: FleetView) -> float:
--- a/buckthornhold/summaries.py
+++ b/buckthornhold/summaries.py
@@ -89,8 +89,9 @@
         #: Aggregate of all other hosts, from the own zone's collector.
         self._rest_of_fleet: received_summaries.ReceivedSummary | None = None
         self._aggregator = summary_aggregates.SummaryAggregator()
-        #: Latest own summaries, by number.
+        #: Latest own summaries, by number, and when they were made.
         self._own_summaries: dict[int, summaries_pb2.Summary] = {}
+        self._made_at: dict[int, float] = {}
         self._sending = tasks.TaskSet(
             logger=host.logger, counters=host.counters
         )
@@ -317,6 +318,8 @@
         self._store_age.fill_summary(summary)
         self._own_summaries[self._number] = summary
         self._own_summaries.pop(self._number - MAX_OWN_SUMMARIES, None)
+        self._made_at[self._number] = pause_detectors.read_boot_clock()
+        self._made_at.pop(self._number - MAX_OWN_SUMMARIES, None)
         return summary
 
     def _apply_zone_aggregate(self, summary: summaries_pb2.Summary) -> None:
@@ -354,7 +357,10 @@
                 total, self._rest_of_fleet.summary
             )
         self._rest_of_fleet = self._make_received(total)
-        self._host.apply_summary(total)
+        made_at = self._made_at[reply.included]
+        self._host.apply_summary(
+            total, age=pause_detectors.read_boot_clock() - made_at
+        )
 
     def _is_malformed(self, summary: summaries_pb2.Summary) -> bool:
         """Tell whether a figure can't be used; log and count it."""
--- a/buckthornhold/summary_aggregates.py
+++ b/buckthornhold/summary_aggregates.py
@@ -16,6 +16,9 @@
 TAKEN = "taken"
 ENDED = "ended"
 FAILED = "failed"
+SMALL_REQUESTED = "small"
+#: Followed by the urgency.
+REQUESTED_PREFIX = "requested/"
 
 #: Follows the name of the collector that sends an aggregate.
 AGGREGATE_SUFFIX = "/sum"
@@ -163,6 +166,11 @@
     totals: dict[TotalKey, float] = {
         (TAKEN, use.workspace): use.units for use in summary.uses
     }
+    for use in summary.uses:
+        if use.small_requested:
+            totals[SMALL_REQUESTED, use.workspace] = use.small_requested
+        for urgency, units in use.requested.items():
+            totals[f"{REQUESTED_PREFIX}{urgency}", use.workspace] = units
     for load in summary.loads:
         totals[ENDED, load.upstream] = load.ended
         totals[FAILED, load.upstream] = load.failed
@@ -194,9 +202,19 @@
 ) -> None:
     """Add running totals to an aggregate that already has its loads."""
     loads = {load.upstream: load for load in total.loads}
+    uses = {
+        name: total.uses.add(workspace=name, units=value)
+        for (kind, name), value in increases.items()
+        if kind == TAKEN
+    }
     for (kind, name), value in increases.items():
         if kind == TAKEN:
-            total.uses.add(workspace=name, units=value)
+            continue
+        if kind == SMALL_REQUESTED:
+            uses[name].small_requested = value
+        elif kind.startswith(REQUESTED_PREFIX):
+            urgency = int(kind.removeprefix(REQUESTED_PREFIX))
+            uses[name].requested[urgency] = value
         elif name not in loads:
             continue
         elif kind == ENDED:
@@ -250,9 +268,18 @@
     total: summaries_pb2.Summary, part: summaries_pb2.Summary
 ) -> None:
     """Subtract one host's summary from an aggregate that includes it."""
-    uses = {own_use.workspace: own_use.units for own_use in part.uses}
+    uses = {own_use.workspace: own_use for own_use in part.uses}
     for use in total.uses:
-        use.units -= uses.get(use.workspace, 0.0)
+        own_use = uses.get(use.workspace)
+        if own_use is None:
+            continue
+        use.units -= own_use.units
+        # An aggregate of a build without requested units has none of this
+        # host's either. A receiver must not take them for a total below zero.
+        if use.requested or use.small_requested:
+            use.small_requested -= own_use.small_requested
+            for urgency, units in own_use.requested.items():
+                use.requested[urgency] -= units
     loads = {own_load.upstream: own_load for own_load in part.loads}
     for load in total.loads:
         own = loads.get(load.upstream)
--- a/buckthornhold/tools/meanings.py
+++ b/buckthornhold/tools/meanings.py
@@ -199,6 +199,8 @@
     "leases.lapsed": "Roles lost because their time ran out.",
     "leases.renewals_failed": "Renewals that failed.",
     "leases.taken": "Roles taken.",
+    "limits.ended": "Workspaces whose limit refused nothing any more.",
+    "limits.reached": "Workspaces whose limit began to refuse requests.",
     "members.changed": "Changes of what is known of an entry host.",
     "members.doubted": "Entry hosts that came into doubt.",
     "relays.repeated": "Relayed requests that were sent again.",
--- a/measurements/shared_limits.py
+++ b/measurements/shared_limits.py
@@ -38,7 +38,7 @@
 BOUND = LIMIT * (1 + OVERAGE) + SLACK
 #: Ways to admit: today's code and the alternatives.
 WAYS = ("today", "shared")
-FAULTS = ("none", "join", "killed", "partition")
+FAULTS = ("none", "join", "killed", "partition", "early-partition")
 WORKSPACE = routes.Workspace(
     name="w",
     rate=RATE,
@@ -223,6 +223,8 @@
             return [(hot + 2.0, join)]
         if self.plan.fault == "killed":
             return [(hot + 2.0, kill)]
+        if self.plan.fault == "early-partition":
+            return [(hot - 4.0, cut), (hot - 2.5, notice)]
         if self.plan.fault == "partition":
             return [(hot + 1.0, cut), (hot + 2.5, notice)]
         return []
--- a/testbed/summary_fleets.py
+++ b/testbed/summary_fleets.py
@@ -125,7 +125,9 @@
             find=lambda name: self.hosts[name].members.own,
             list_all=lambda: host.members.list_all(),
         )
-        host.apply_summary = lambda summary: add_remote_units(host, summary)
+        host.apply_summary = lambda summary, age=0.0: add_remote_units(
+            host, summary
+        )
         host.summaries = LocalSummaries(host=host, fleet=self)
         host.summaries.add_source(lambda summary: fill(host, summary))
         return host
