--- a/buckthornhold/quotas.py
+++ b/buckthornhold/quotas.py
@@ -5,19 +5,19 @@
 While little is left, each host admits at most its allowance between two
 summaries, its share of what is left. A host that may still run but sends no
 summaries is assumed to use an equal share of the limit.
+
+With ``shared`` the rates are divided among the hosts by their demand instead;
+see ``shared_quotas``.
 """
 
-import collections
 from collections.abc import Callable
-from collections.abc import Mapping
-import dataclasses
 import math
 import random
 import time
 
+from buckthornhold import limit_uses
 from buckthornhold import routes
-from buckthornhold.peers import summaries_pb2
-from buckthornhold.scheduling import shared_rates
+from buckthornhold import shared_quotas
 
 #: Lower bound of the Retry-After that a refused caller gets.
 MIN_RETRY_AFTER_SECONDS = 0.2
@@ -36,70 +36,6 @@
 #: Level that a refused caller waits for, and least depth of a bucket, in
 #: seconds of refill.
 MIN_LEVEL_SECONDS = 0.1
-#: How long a workspace counts as limited after the last time that it was, so
-#: that one at its limit doesn't change its state with each plan.
-LIMITED_SECONDS = 4.0
-#: Urgencies in a log line.
-MAX_LOGGED_SHARES = 10
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Use:
-    """Units of a limit since a process started.
-
-    ``requested`` are by urgency, those of small requests by
-    ``shared_rates.SMALL``. It is empty if the sender doesn't report them.
-    """
-
-    admitted: float
-    requested: Mapping[int, float] = dataclasses.field(default_factory=dict)
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class LimitChange:
-    """A workspace that became limited, or no longer is.
-
-    ``shares`` are the parts of the requests that are admitted, by urgency;
-    ``age`` is that of the other hosts' figures in seconds, None without any.
-    """
-
-    workspace: str
-    limited: bool
-    shares: Mapping[int, float]
-    age: float | None
-
-    def describe(self) -> str:
-        """Return the text of the log line."""
-        state = "is limited" if self.limited else "is no longer limited"
-        shares = ", ".join(
-            f"{'small' if kind == shared_rates.SMALL else kind}: {share:.2f}"
-            for kind, share in sorted(self.shares.items())[:MAX_LOGGED_SHARES]
-        )
-        age = "unknown" if self.age is None else f"{self.age:.1f} s old"
-        return (
-            f"{self.workspace} {state}, admitted by urgency: "
-            f"{shares or 'all'}; other hosts' figures {age}"
-        )
-
-
-@dataclasses.dataclass
-class _OwnUse:
-    """This host's units of a shared rate since its process started."""
-
-    admitted: float = 0.0
-    requested: collections.Counter[int] = dataclasses.field(
-        default_factory=collections.Counter
-    )
-    limited: bool = False
-    limited_at: float = -math.inf
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class _RemoteUse:
-    """A process's last report and when its units were counted."""
-
-    use: Use
-    counted_at: float
 
 
 class _TokenBucket:
@@ -145,7 +81,9 @@
     A limit is ``rate`` times ``window_seconds`` plus ``burst`` units in any
     window. ``count_hosts`` returns the number of hosts that share the limits.
     ``read_limit_share`` returns the share of the limits that the hosts with
-    recent summaries may use: 1 unless a host is silent.
+    recent summaries may use: 1 unless a host is silent. ``overage`` and
+    ``slack`` say by how much a limit may be exceeded; they, ``draw`` and
+    ``notify`` are used for shared rates only.
     """
 
     def __init__(
@@ -159,21 +97,24 @@
         overage: float = 0.0,
         slack: float = 0.0,
         draw: random.Random | None = None,
-        notify: Callable[[LimitChange], None] = lambda _: None,
+        notify: Callable[[limit_uses.LimitChange], None] = lambda _: None,
     ) -> None:
-        self._shared = shared
-        self._overage = overage
-        self._slack = slack
-        self._draw = draw or random.Random()
-        self._notify = notify
-        self._rates: dict[str, shared_rates.SharedRate] = {}
-        self._own_uses: dict[str, _OwnUse] = {}
-        self._remote_uses: dict[tuple[str, int], dict[str, _RemoteUse]] = {}
+        self._shared = None
+        if shared:
+            self._shared = shared_quotas.SharedQuotas(
+                window_seconds=window_seconds,
+                overage=overage,
+                slack=slack,
+                count_hosts=count_hosts,
+                read_limit_share=read_limit_share,
+                clock=clock,
+                draw=draw or random.Random(),
+                notify=notify,
+            )
         self._window_seconds = window_seconds
         self._count_hosts = count_hosts
         self._read_limit_share = read_limit_share
         self._clock = clock
-        self._started_at = clock()
         self._buckets: dict[str, _TokenBucket] = {}
         self._remote_usage: dict[tuple[str, int], dict[str, float]] = {}
 
@@ -194,8 +135,8 @@
         """
         if not workspace.rate:
             return 0.0
-        if self._shared:
-            return self._admit_shared(
+        if self._shared is not None:
+            return self._shared.admit(
                 workspace, units, urgency=urgency, returning=returning
             )
         bucket = self._refill(workspace)
@@ -212,10 +153,8 @@
 
     def refund(self, workspace: routes.Workspace, units: float) -> None:
         """Give back the units of a request that was not run."""
-        rate = self._rates.get(workspace.name)
-        if rate is not None:
-            rate.refund(units, now=self._clock())
-            self._own_uses[workspace.name].admitted -= units
+        if self._shared is not None:
+            self._shared.refund(workspace, units)
             return
         bucket = self._buckets.get(workspace.name)
         if bucket is None:
@@ -261,29 +200,23 @@
 
     def publish_uses(
         self, workspaces: tuple[routes.Workspace, ...]
-    ) -> dict[str, Use]:
+    ) -> dict[str, limit_uses.Use]:
         """Return the units since the process started, by workspace.
 
         Must be called once for each summary, as ``publish_admitted``.
         """
-        if not self._shared:
-            admitted = self.publish_admitted(workspaces)
-            return {name: Use(admitted=it) for name, it in admitted.items()}
-        uses = {}
-        for workspace in workspaces:
-            own = self._own_uses.get(workspace.name)
-            if own is None or not workspace.rate:
-                continue
-            self._note_change(workspace)
-            uses[workspace.name] = Use(
-                admitted=own.admitted, requested=dict(own.requested)
-            )
-        return uses
+        if self._shared is not None:
+            return self._shared.publish_uses(workspaces)
+        admitted = self.publish_admitted(workspaces)
+        return {
+            name: limit_uses.Use(admitted=units)
+            for name, units in admitted.items()
+        }
 
     def apply_remote_uses(
         self,
         process: tuple[str, int],
-        uses: dict[str, Use],
+        uses: dict[str, limit_uses.Use],
         *,
         age: float = 0.0,
         aggregated: bool = False,
@@ -291,115 +224,24 @@
         """Apply what another process, or several, reported.
 
         ``age`` is the seconds since the units were counted, ``aggregated``
-        whether they are those of all other hosts.
+        whether they are those of several hosts.
         """
-        if not self._shared:
-            self.apply_remote_usage(
-                process, {name: use.admitted for name, use in uses.items()}
+        if self._shared is not None:
+            self._shared.apply_remote_uses(
+                process, uses, age=age, aggregated=aggregated
             )
             return
-        counted_at = self._clock() - age
-        reported = self._remote_uses.setdefault(process, {})
-        for name, use in uses.items():
-            previous = reported.get(name)
-            if previous is not None and counted_at <= previous.counted_at:
-                continue
-            reported[name] = _RemoteUse(use=use, counted_at=counted_at)
-            rate = self._rates.get(name)
-            if rate is None:
-                continue
-            if previous is None:
-                if aggregated:
-                    rate.assume_planned(until=counted_at)
-                continue
-            rate.apply_others(
-                use.admitted - previous.use.admitted,
-                {
-                    kind: units - previous.use.requested.get(kind, 0.0)
-                    for kind, units in use.requested.items()
-                },
-                source=process,
-                since=previous.counted_at,
-                until=counted_at,
-            )
+        self.apply_remote_usage(
+            process, {name: use.admitted for name, use in uses.items()}
+        )
 
     def retain(self, processes: set[tuple[str, int]]) -> None:
         """Forget the reported usage of all processes but these."""
-        for process in self._remote_uses.keys() - processes:
-            del self._remote_uses[process]
+        if self._shared is not None:
+            self._shared.retain(processes)
         for process in self._remote_usage.keys() - processes:
             del self._remote_usage[process]
 
-    def _admit_shared(
-        self,
-        workspace: routes.Workspace,
-        units: float,
-        *,
-        urgency: int,
-        returning: bool,
-    ) -> float:
-        now = self._clock()
-        rate = self._rates.get(workspace.name)
-        if rate is None:
-            rate = shared_rates.SharedRate(
-                draw=self._draw, now=self._started_at
-            )
-            self._rates[workspace.name] = rate
-            self._own_uses[workspace.name] = _OwnUse()
-        own = self._own_uses[workspace.name]
-        ticket = shared_rates.Ticket(
-            units=units,
-            urgency=urgency,
-            small=workspace.counts_tokens and units <= workspace.plain_tokens,
-            returning=returning,
-        )
-        own.requested[ticket.kind] += ticket.demand
-        wait = rate.admit(
-            ticket,
-            limit=self._make_limit(workspace),
-            fleet=self._view_fleet(),
-            now=now,
-        )
-        if not wait:
-            own.admitted += units
-        return wait
-
-    def _make_limit(self, workspace: routes.Workspace) -> shared_rates.Limit:
-        return shared_rates.Limit(
-            rate=workspace.rate,
-            burst=workspace.burst,
-            window=self._window_seconds,
-            overage=self._overage,
-            slack=self._slack,
-        )
-
-    def _view_fleet(self) -> shared_rates.FleetView:
-        return shared_rates.FleetView(
-            host_count=max(1, self._count_hosts()),
-            limit_share=self._read_limit_share(),
-        )
-
-    def _note_change(self, workspace: routes.Workspace) -> None:
-        """Tell when a workspace becomes limited, or is no longer."""
-        now = self._clock()
-        own = self._own_uses[workspace.name]
-        rate = self._rates[workspace.name]
-        rate.update(self._make_limit(workspace), self._view_fleet(), now)
-        if rate.limited:
-            own.limited_at = now
-        limited = now - own.limited_at < LIMITED_SECONDS
-        if limited == own.limited:
-            return
-        own.limited = limited
-        self._notify(
-            LimitChange(
-                workspace=workspace.name,
-                limited=limited,
-                shares=dict(rate.shares),
-                age=rate.compute_age(now),
-            )
-        )
-
     def _compute_refill_rate(self, workspace: routes.Workspace) -> float:
         """Return the units that a bucket gains per second."""
         remaining_burst = workspace.burst - compute_depth(workspace)
@@ -437,28 +279,3 @@
 def compute_depth(workspace: routes.Workspace) -> float:
     """Return the units of a workspace's limit that may be admitted at once."""
     return min(workspace.burst, BURST_SECONDS * workspace.rate)
-
-
-def read_uses(summary: summaries_pb2.Summary) -> dict[str, Use]:
-    """Return the units in a summary, by workspace."""
-    uses = {}
-    for use in summary.uses:
-        requested = dict(use.requested)
-        if use.small_requested:
-            requested[shared_rates.SMALL] = use.small_requested
-        uses[use.workspace] = Use(admitted=use.units, requested=requested)
-    return uses
-
-
-def write_uses(
-    summary: summaries_pb2.Summary, uses: Mapping[str, Use]
-) -> None:
-    """Add the units of workspaces to a summary."""
-    for name, use in uses.items():
-        requested = dict(use.requested)
-        summary.uses.add(
-            workspace=name,
-            units=use.admitted,
-            small_requested=requested.pop(shared_rates.SMALL, 0.0),
-            requested=requested,
-        )
--- a/buckthornhold/relay_hosts.py
+++ b/buckthornhold/relay_hosts.py
@@ -25,6 +25,7 @@
 from buckthornhold import exchanges
 from buckthornhold import fleet_orders
 from buckthornhold import fleet_sizes
+from buckthornhold import limit_uses
 from buckthornhold import links
 from buckthornhold import logs
 from buckthornhold import memory_budgets
@@ -149,7 +150,9 @@
             shared=config.scheduling.shared_limits,
             overage=config.bounds.limit_overage,
             slack=config.bounds.limit_slack,
-            notify=self._handle_limit_change,
+            notify=limit_uses.ChangeLog(
+                logger=self.logger, counts=self.counters
+            ).note,
         )
         self.usage = usages.UsageCounter(
             window_seconds=config.bounds.usage_window,
@@ -355,7 +358,7 @@
         """
         self.quotas.apply_remote_uses(
             (summary.host, summary.incarnation),
-            quotas.read_uses(summary),
+            limit_uses.read_uses(summary),
             age=age,
             aggregated=summary.hosts > 0,
         )
@@ -365,7 +368,7 @@
     def _fill_summary(self, summary: summaries_pb2.Summary) -> None:
         current = self.configurations.current
         uses = self.quotas.publish_uses(current.workspaces if current else ())
-        quotas.write_uses(summary, uses)
+        limit_uses.write_uses(summary, uses)
         summary.demands.update(self.demands.read())
 
     def count_hosts(self) -> int:
@@ -380,11 +383,6 @@
         reporting = self.summaries.count_reporting_hosts() + 1
         return reporting / (reporting + silent)
 
-    def _handle_limit_change(self, change: quotas.LimitChange) -> None:
-        name = "limits.reached" if change.limited else "limits.ended"
-        self.counters.count_event(name)
-        self.logger.bind(step="limit").info(change.describe())
-
     def _read_state(self) -> members.MemberState:
         if self._stopping:
             return members.MemberState.LEAVING
--- a/measurements/shared_limits.py
+++ b/measurements/shared_limits.py
@@ -15,6 +15,7 @@
 import json
 import random
 
+from buckthornhold import limit_uses
 from buckthornhold import quotas
 from buckthornhold import routes
 
@@ -379,7 +380,7 @@
 
 def make_use(totals: dict):
     """Return a use from totals by name."""
-    return quotas.Use(
+    return limit_uses.Use(
         admitted=totals.get("units", 0.0),
         requested={
             int(name): units
