Tune the guard against surges at 390 hosts

Change: the rise is judged at each request, and the reserve refills slower while the limit isn't reached.

--- a/buckthornhold/scheduling/rate_records.py
+++ b/buckthornhold/scheduling/rate_records.py
@@ -89,6 +89,8 @@
         self._start = find_index(started_at)
         self._sources: dict[Hashable, float] = {}
         self._known_at: float | None = None
+        #: First slot that demands are known of.
+        self._first = self._start
 
     @property
     def known_at(self) -> float | None:
@@ -126,6 +128,8 @@
         """
         first = find_index(max(since, until - MAX_SPAN_SECONDS))
         last = max(first, find_index(until) - 1)
+        if self._known_at is None:
+            self._first = first
         count = last - first + 1
         reported = sum(units for units in requested.values() if units > 0)
         for index in range(first, last + 1):
@@ -264,7 +268,9 @@
         self, last: int, seconds: float, limit_share: float
     ) -> collections.Counter[int]:
         demands: collections.Counter[int] = collections.Counter()
-        for at in range(last - _count_slots(seconds) + 1, last + 1):
+        first = max(self._first, last - _count_slots(seconds) + 1)
+        seconds = max(1, last - first + 1) * SLOT_SECONDS
+        for at in range(first, last + 1):
             slot = self._slots.get(at)
             if slot is None:
                 continue
--- a/buckthornhold/scheduling/shared_rates.py
+++ b/buckthornhold/scheduling/shared_rates.py
@@ -221,7 +221,7 @@
                 host_count=fleet.host_count,
                 mean_units=self._guard.mean_units,
             )
-        refill = target
+        refill = surge_guards.UNLIMITED_REFILL_FACTOR * target
         if self._limited:
             refill = surge_guards.REFILL_FACTOR * self._plan_rate
         self._guard.update(
--- a/buckthornhold/scheduling/surge_guards.py
+++ b/buckthornhold/scheduling/surge_guards.py
@@ -27,8 +27,8 @@
 #: A rise is no chance if within this time, in seconds, the host had this many
 #: standard deviations and requests more than usual.
 RISE_SECONDS = 2.0
-RISE_SIGMAS = 2.5
-RISE_REQUESTS = 1.2
+RISE_SIGMAS = 2.0
+RISE_REQUESTS = 0.8
 #: Least part of the demand that is taken to be usual. A rise by chance must
 #: not keep callers away for seconds.
 MIN_USUAL_PART = 0.25
@@ -36,6 +36,9 @@
 #: plan, which is uncertain; and the greatest debt, in seconds of refill.
 REFILL_FACTOR = 1.2
 MAX_DEBT_SECONDS = 3.0
+#: Refill while the limit isn't reached, relative to the host's part of it. At
+#: 1, hosts admit more than the bound of a window that began with a surge.
+UNLIMITED_REFILL_FACTOR = 0.75
 #: Weight of a request in the means of the sizes.
 SIZE_WEIGHT = 0.05
 
