--- a/buckthornhold/quotas.py
+++ b/buckthornhold/quotas.py
@@ -151,10 +151,12 @@
         bucket.unpublished += units
         return 0.0
 
-    def refund(self, workspace: routes.Workspace, units: float) -> None:
+    def refund(
+        self, workspace: routes.Workspace, units: float, *, urgency: int = 0
+    ) -> None:
         """Give back the units of a request that was not run."""
         if self._shared is not None:
-            self._shared.refund(workspace, units)
+            self._shared.refund(workspace, units, urgency=urgency)
             return
         bucket = self._buckets.get(workspace.name)
         if bucket is None:
--- a/buckthornhold/relay_requests.py
+++ b/buckthornhold/relay_requests.py
@@ -245,7 +245,11 @@
     def _record_outcome(self, relay, request, started_at, failure) -> None:
         """Refund unused quota; count and log the outcome."""
         if relay.ran is reasons.Ran.NO and request.workspace is not None:
-            self._host.quotas.refund(request.workspace, request.units)
+            self._host.quotas.refund(
+                request.workspace,
+                request.units,
+                urgency=request.contract.priority,
+            )
         now = time.monotonic()
         answered_at = relay.first_event_at or now
         kind = "stream" if request.route.streamed else "call"
--- a/buckthornhold/scheduling/rate_records.py
+++ b/buckthornhold/scheduling/rate_records.py
@@ -223,7 +223,10 @@
         usual = self._average_demands(last, DEMAND_SECONDS, limit_share)
         latest = self._average_demands(last, JUMP_SECONDS, limit_share)
         ratio = sum(latest.values()) / max(1e-9, sum(usual.values()))
-        return latest if not 1 / JUMP_FACTOR <= ratio <= JUMP_FACTOR else usual
+        if not 1 / JUMP_FACTOR <= ratio <= JUMP_FACTOR:
+            usual = latest
+        # Refunds may exceed the requests of a short time.
+        return +usual
 
     def measure_change(self, index: int) -> float:
         """Return by what factor the own demand changed since it was known.
--- a/buckthornhold/scheduling/shared_rates.py
+++ b/buckthornhold/scheduling/shared_rates.py
@@ -25,14 +25,14 @@
 #: more, so both sides have a margin for chance.
 TARGET_SHARE = 1.03
 LEAST_SHARE = 1.02
-MOST_SHARE = 1.05
+MOST_SHARE = 1.06
 #: Time in which the sum of a window is corrected, in seconds. Corrections
 #: within the age of the figures (up to 2 s) oscillate.
 CORRECTION_SECONDS = 2.0
 #: Highest planned rate relative to the target while the window has room, and
 #: time in which that room may be used up, in seconds.
-MAX_PLAN_FACTOR = 1.3
-ROOM_SECONDS = 4.0
+MAX_PLAN_FACTOR = 1.5
+ROOM_SECONDS = 3.0
 #: Highest planned rate, relative to the target, that makes up for what
 #: leaves the window.
 MAX_REPEAT_FACTOR = 3.0
@@ -40,6 +40,9 @@
 SMALL_SHARE = 0.2
 #: Age from which the others' figures aren't used any more, in seconds.
 MAX_AGE_SECONDS = 3.0
+#: Factor of the demand by which a host without figures of others computes
+#: its shares.
+ALONE_CHANGE = 0.6
 #: Bounds of the time after which a refused request should return, in
 #: seconds: at once, when a host only waits for newer figures, and at most.
 MIN_RETRY_SECONDS = 0.2
@@ -102,6 +105,7 @@
         now: float,
     ) -> float:
         """Admit a request and return 0, or return the seconds to wait."""
+        self._guard.note_size(ticket.units)
         self.update(limit, fleet, now)
         slot = self._record.find_slot(rate_records.find_index(now))
         plan = self._shares.get(ticket.urgency, 1.0)
@@ -118,18 +122,21 @@
             eased *= self._guard.compute_easing(admitted)
         slot.own_requested[ticket.kind] += ticket.demand
         slot.own_count += ticket.weight
-        self._guard.note_size(ticket.units)
         if self._is_due(ticket.kind, eased):
             slot.own += ticket.units
             self._guard.take(ticket.units)
             return 0.0
         return self._compute_wait(share, waits_for_figures=eased < share)
 
-    def refund(self, units: float, *, now: float) -> None:
-        """Give back the units of a request that was not run."""
-        index = rate_records.find_index(now)
-        self._record.find_slot(index).own -= units
-        self._guard.take(-units)
+    def refund(self, ticket: limits.Ticket, *, now: float) -> None:
+        """Give back the units of a request that was not run.
+
+        They aren't demand either: what can't run doesn't use the limit.
+        """
+        slot = self._record.find_slot(rate_records.find_index(now))
+        slot.own -= ticket.units
+        slot.own_requested[ticket.kind] -= ticket.units
+        self._guard.take(-ticket.units)
 
     def apply_others(
         self,
@@ -198,12 +205,17 @@
         rate = choose_rate(sums, limit=limit, target=target)
         age = self.compute_age(now)
         informed = age is not None and age <= MAX_AGE_SECONDS
+        if not informed:
+            # What the fleet admitted is unknown, so nothing is made up for.
+            rate = min(rate, target)
         demands = record.measure_demands(
             record.known if informed else index - 1,
             limit_share=fleet.limit_share,
         )
         demand = sum(demands.values()) / fleet.limit_share
-        change = record.measure_change(index) if informed else 1.0
+        # Without figures of others the guard alone keeps to the limit: both
+        # together would admit too little. The shares set the order then.
+        change = record.measure_change(index) if informed else ALONE_CHANGE
         self._shares = limits.divide_rate(
             rate * fleet.limit_share,
             {kind: change * units for kind, units in demands.items()},
@@ -222,7 +234,9 @@
                 mean_units=self._guard.mean_units,
             )
         refill = surge_guards.UNLIMITED_REFILL_FACTOR * target
-        if self._limited:
+        if not informed:
+            refill = target
+        elif self._limited:
             refill = surge_guards.REFILL_FACTOR * self._plan_rate
         self._guard.update(
             expected=own_share
--- a/buckthornhold/scheduling/surge_guards.py
+++ b/buckthornhold/scheduling/surge_guards.py
@@ -38,7 +38,7 @@
 MAX_DEBT_SECONDS = 3.0
 #: Refill while the limit isn't reached, relative to the host's part of it. At
 #: 1, hosts admit more than the bound of a window that began with a surge.
-UNLIMITED_REFILL_FACTOR = 0.75
+UNLIMITED_REFILL_FACTOR = 0.9
 #: Weight of a request in the means of the sizes.
 SIZE_WEIGHT = 0.05
 
--- a/buckthornhold/shared_quotas.py
+++ b/buckthornhold/shared_quotas.py
@@ -81,12 +81,7 @@
                 )
             )
             self._own_uses[workspace.name] = own
-        ticket = limits.Ticket(
-            units=units,
-            urgency=urgency,
-            small=workspace.counts_tokens and units <= workspace.plain_tokens,
-            returning=returning,
-        )
+        ticket = _make_ticket(workspace, units, urgency, returning=returning)
         own.requested[ticket.kind] += ticket.demand
         wait = own.rate.admit(
             ticket,
@@ -98,13 +93,17 @@
             own.admitted += units
         return wait
 
-    def refund(self, workspace: routes.Workspace, units: float) -> None:
+    def refund(
+        self, workspace: routes.Workspace, units: float, *, urgency: int
+    ) -> None:
         """Give back the units of a request that was not run."""
         own = self._own_uses.get(workspace.name)
         if own is None:
             return
+        ticket = _make_ticket(workspace, units, urgency)
         own.admitted -= units
-        own.rate.refund(units, now=self._clock())
+        own.requested[ticket.kind] -= units
+        own.rate.refund(ticket, now=self._clock())
 
     def publish_uses(
         self, workspaces: tuple[routes.Workspace, ...]
@@ -192,3 +191,18 @@
                 age=own.rate.compute_age(now),
             )
         )
+
+
+def _make_ticket(
+    workspace: routes.Workspace,
+    units: float,
+    urgency: int,
+    *,
+    returning: bool = False,
+) -> limits.Ticket:
+    return limits.Ticket(
+        units=units,
+        urgency=urgency,
+        small=workspace.counts_tokens and units <= workspace.plain_tokens,
+        returning=returning,
+    )
