--- a/measurements/shared_limits.py
+++ b/measurements/shared_limits.py
@@ -18,6 +18,7 @@
 from buckthornhold import limit_uses
 from buckthornhold import quotas
 from buckthornhold import routes
+from measurements import limit_ways
 
 RATE = 508_807.0
 BURST = 508_807.0
@@ -38,7 +39,7 @@
 LIMIT = RATE * WINDOW_SECONDS + BURST
 BOUND = LIMIT * (1 + OVERAGE) + SLACK
 #: Ways to admit: today's code and the alternatives.
-WAYS = ("today", "shared")
+WAYS = ("today", "shared", "equal", "demand", "lease")
 FAULTS = ("none", "join", "killed", "partition", "early-partition", "mixed")
 WORKSPACE = routes.Workspace(
     name="w",
@@ -92,6 +93,7 @@
         self.plan = plan
         self.now = 1000.0
         self._draw = random.Random(plan.seed)
+        self._pool = limit_ways.LeasePool(rate=LIMIT / WINDOW_SECONDS)
         self.hosts = []
         self.split = False
         self.split_noticed = False
@@ -116,8 +118,20 @@
         self.calm_asked = 0
         self.calm_lost = 0
 
-    def make_quotas(self, host: Host) -> quotas.Quotas:
+    def make_quotas(self, host: Host):
         """Return the quotas of a host, in the way that is played."""
+        common = {
+            "rate": LIMIT / WINDOW_SECONDS,
+            "window": WINDOW_SECONDS,
+            "count_hosts": lambda: sum(it.alive for it in self.hosts),
+            "clock": lambda: self.now,
+        }
+        if self.plan.way == "equal":
+            return limit_ways.BucketWay(**common)
+        if self.plan.way == "demand":
+            return limit_ways.DemandWay(**common)
+        if self.plan.way == "lease":
+            return limit_ways.LeaseWay(pool=self._pool, **common)
         more = {}
         # Hosts of an earlier build take part in a fleet that is replaced.
         is_earlier = self.plan.fault == "mixed" and host.number % 3 == 0
