Let the relay path's stand-in take the urgency of a refund

Cause: its refund took no urgency, so six scenarios ended with a TypeError.

Change: the stand-in takes it as quotas.Quotas does; its check is the same.

--- a/features/steps/relay_path_steps.py
+++ b/features/steps/relay_path_steps.py
@@ -58,7 +58,7 @@
         background=tasks.TaskSet(logger=logger, counters=counts),
         configurations=types.SimpleNamespace(version=1),
         quotas=types.SimpleNamespace(
-            refund=lambda workspace, units: refunded.append(units)
+            refund=lambda workspace, units, urgency=0: refunded.append(units)
         ),
         refunded=refunded,
         counted_workspaces=[],
