--- a/buckthornhold/quotas.py
+++ b/buckthornhold/quotas.py
@@ -15,7 +15,9 @@
 import random
 import time
 
+from buckthornhold import counters
 from buckthornhold import limit_uses
+from buckthornhold import relay_settings
 from buckthornhold import routes
 from buckthornhold import shared_quotas
 
@@ -278,6 +280,26 @@
         return bucket
 
 
+def make_quotas(
+    config: relay_settings.RelaySettings,
+    *,
+    count_hosts: Callable[[], int],
+    read_limit_share: Callable[[], float],
+    logger,
+    counts: counters.Counters,
+) -> Quotas:
+    """Return the quotas of a host with these settings."""
+    return Quotas(
+        window_seconds=config.bounds.limit_window,
+        count_hosts=count_hosts,
+        read_limit_share=read_limit_share,
+        shared=config.scheduling.shared_limits,
+        overage=config.bounds.limit_overage,
+        slack=config.bounds.limit_slack,
+        notify=limit_uses.ChangeLog(logger=logger, counts=counts).note,
+    )
+
+
 def compute_depth(workspace: routes.Workspace) -> float:
     """Return the units of a workspace's limit that may be admitted at once."""
     return min(workspace.burst, BURST_SECONDS * workspace.rate)
--- a/buckthornhold/relay_hosts.py
+++ b/buckthornhold/relay_hosts.py
@@ -143,16 +143,12 @@
             count_hosts=self.count_hosts,
         )
         self.upstreams = relay_upstreams.RelayUpstreams(host=self)
-        self.quotas = quotas.Quotas(
-            window_seconds=config.bounds.limit_window,
+        self.quotas = quotas.make_quotas(
+            config,
             count_hosts=self.count_hosts,
             read_limit_share=self._compute_limit_share,
-            shared=config.scheduling.shared_limits,
-            overage=config.bounds.limit_overage,
-            slack=config.bounds.limit_slack,
-            notify=limit_uses.ChangeLog(
-                logger=self.logger, counts=self.counters
-            ).note,
+            logger=self.logger,
+            counts=self.counters,
         )
         self.usage = usages.UsageCounter(
             window_seconds=config.bounds.usage_window,
@@ -352,10 +348,7 @@
     def apply_summary(
         self, summary: summaries_pb2.Summary, age: float = 0.0
     ) -> None:
-        """Apply another host's summary to the parts that use it.
-
-        ``age`` is the time since the figures of an aggregate were taken.
-        """
+        """Apply another host's summary of figures ``age`` seconds old."""
         self.quotas.apply_remote_uses(
             (summary.host, summary.incarnation),
             limit_uses.read_uses(summary),
@@ -367,8 +360,8 @@
 
     def _fill_summary(self, summary: summaries_pb2.Summary) -> None:
         current = self.configurations.current
-        uses = self.quotas.publish_uses(current.workspaces if current else ())
-        limit_uses.write_uses(summary, uses)
+        known = current.workspaces if current else ()
+        limit_uses.write_uses(summary, self.quotas.publish_uses(known))
         summary.demands.update(self.demands.read())
 
     def count_hosts(self) -> int:
--- a/buckthornhold/summaries.py
+++ b/buckthornhold/summaries.py
@@ -90,8 +90,7 @@
         self._rest_of_fleet: received_summaries.ReceivedSummary | None = None
         self._aggregator = summary_aggregates.SummaryAggregator()
         #: Latest own summaries, by number, and when they were made.
-        self._own_summaries: dict[int, summaries_pb2.Summary] = {}
-        self._made_at: dict[int, float] = {}
+        self._own_summaries: dict[int, tuple] = {}
         self._sending = tasks.TaskSet(
             logger=host.logger, counters=host.counters
         )
@@ -316,10 +315,9 @@
         for fill in self._sources:
             fill(summary)
         self._store_age.fill_summary(summary)
-        self._own_summaries[self._number] = summary
+        now = pause_detectors.read_boot_clock()
+        self._own_summaries[self._number] = summary, now
         self._own_summaries.pop(self._number - MAX_OWN_SUMMARIES, None)
-        self._made_at[self._number] = pause_detectors.read_boot_clock()
-        self._made_at.pop(self._number - MAX_OWN_SUMMARIES, None)
         return summary
 
     def _apply_zone_aggregate(self, summary: summaries_pb2.Summary) -> None:
@@ -334,7 +332,7 @@
 
     def _apply_fleet_aggregate(self, reply: summaries_pb2.TellReply) -> None:
         """Store the aggregate of all hosts, after subtracting this one."""
-        own = self._own_summaries.get(reply.included)
+        own, made_at = self._own_summaries.get(reply.included, (None, 0.0))
         if not reply.HasField("sum") or own is None:
             return
         total = reply.sum
@@ -357,10 +355,8 @@
                 total, self._rest_of_fleet.summary
             )
         self._rest_of_fleet = self._make_received(total)
-        made_at = self._made_at[reply.included]
-        self._host.apply_summary(
-            total, age=pause_detectors.read_boot_clock() - made_at
-        )
+        age = pause_detectors.read_boot_clock() - made_at
+        self._host.apply_summary(total, age=age)
 
     def _is_malformed(self, summary: summaries_pb2.Summary) -> bool:
         """Tell whether a figure can't be used; log and count it."""
