--- a/buckthornhold/scheduling/rate_records.py
+++ b/buckthornhold/scheduling/rate_records.py
@@ -213,6 +213,38 @@
             leaving=min(leaving, default=full / SLOT_SECONDS),
         )
 
+    def sum_known(
+        self, index: int, *, slots: int, before: float
+    ) -> tuple[float, float]:
+        """Return what the window admitted, and what is planned since.
+
+        ``before`` is assumed for each slot of the time before the record's
+        start.
+        """
+        total = planned = 0.0
+        known = self.known
+        for at in range(index - slots, index):
+            slot = self._slots.get(at)
+            if at < self._first or slot is None:
+                total += before
+            elif at <= known:
+                total += (slot.own + slot.others) / slot.limit_share
+            else:
+                planned += slot.planned
+        return total, planned
+
+    def raise_planned(
+        self, last: int, *, amount: float, most: float
+    ) -> None:
+        """Raise the plan of slots that the others' figures don't cover.
+
+        Up to the slot ``last``, each to ``amount``, and ``most`` in all.
+        """
+        for at in range(self.known + 1, last + 1):
+            slot = self.find_slot(at)
+            slot.planned = max(slot.planned, min(amount, most))
+            most = max(0.0, most - slot.planned)
+
     def measure_demands(
         self, last: int, *, limit_share: float
     ) -> collections.Counter[int]:
--- a/buckthornhold/scheduling/shared_rates.py
+++ b/buckthornhold/scheduling/shared_rates.py
@@ -16,6 +16,7 @@
 from collections.abc import Mapping
 import random
 
+from buckthornhold.scheduling import calm_guards
 from buckthornhold.scheduling import limits
 from buckthornhold.scheduling import rate_records
 from buckthornhold.scheduling import surge_guards
@@ -48,6 +49,9 @@
 MIN_RETRY_SECONDS = 0.2
 GUARD_RETRY_SECONDS = 0.4
 MAX_RETRY_SECONDS = 8.0
+#: Bounds of the time until newer figures arrive, in seconds, for requests
+#: that wait for them while the limit isn't reached.
+CALM_RETRY_SECONDS = (0.3, 0.6)
 #: The time for each request that is refused per admitted one.
 RETRY_SECONDS_PER_REFUSAL = 0.5
 #: Part of the Retry-After by which it varies at random, so that refused
@@ -70,7 +74,15 @@
         self._draw = draw
         self._record = rate_records.RateRecord(started_at=started_at)
         self._guard = surge_guards.SurgeGuard()
+        self._calm_guard = calm_guards.CalmGuard()
+        #: Whether this host decides by the calm guard.
+        self._calm = True
+        self._first_at: float | None = None
         self._planned_index = rate_records.find_index(started_at) - 1
+        #: Last slot that the others' figures covered when it was planned.
+        self._planned_known = self._record.known
+        #: Last slot in which requests were admitted by the calm guard.
+        self._calm_until = self._planned_index
         #: Units a second that the whole fleet admits by the plan.
         self._plan_rate = 0.0
         self._shares: dict[int, float] = {}
@@ -108,6 +120,8 @@
         self._guard.note_size(ticket.units)
         self.update(limit, fleet, now)
         slot = self._record.find_slot(rate_records.find_index(now))
+        if self._calm:
+            return self._admit_calm(ticket, slot)
         plan = self._shares.get(ticket.urgency, 1.0)
         if ticket.small:
             plan = max(plan, self._shares.get(limits.SMALL, 1.0))
@@ -128,6 +142,27 @@
             return 0.0
         return self._compute_wait(share, waits_for_figures=eased < share)
 
+    def _admit_calm(
+        self, ticket: limits.Ticket, slot: rate_records.Slot
+    ) -> float:
+        # Figures that came since the plan lower the allowance with the next
+        # one; until then what they cover still counts as unreported.
+        record = self._record
+        unreported = record.sum_own_since(self._planned_known + 1)
+        recent = record.sum_own_since(
+            self._planned_index
+            - int(calm_guards.LEAST_SECONDS / rate_records.SLOT_SECONDS)
+        )
+        slot.own_requested[ticket.kind] += ticket.demand
+        slot.own_count += ticket.weight
+        if ticket.small or self._calm_guard.allows(
+            unreported=unreported, recent=recent
+        ):
+            slot.own += ticket.units
+            self._guard.take(ticket.units)
+            return 0.0
+        return self._draw.uniform(*CALM_RETRY_SECONDS)
+
     def refund(self, ticket: limits.Ticket, *, now: float) -> None:
         """Give back the units of a request that was not run.
 
@@ -197,17 +232,8 @@
         index = self._planned_index
         target = TARGET_SHARE * limit.sum / limit.window
         record.note_limit_share(fleet.limit_share, index)
-        sums = record.sum_window(
-            index,
-            slots=int(limit.window / rate_records.SLOT_SECONDS),
-            full=target * rate_records.SLOT_SECONDS,
-        )
-        rate = choose_rate(sums, limit=limit, target=target)
         age = self.compute_age(now)
         informed = age is not None and age <= MAX_AGE_SECONDS
-        if not informed:
-            # What the fleet admitted is unknown, so nothing is made up for.
-            rate = min(rate, target)
         demands = record.measure_demands(
             record.known if informed else index - 1,
             limit_share=fleet.limit_share,
@@ -216,17 +242,25 @@
         # Without figures of others the guard alone keeps to the limit: both
         # together would admit too little. The shares set the order then.
         change = record.measure_change(index) if informed else ALONE_CHANGE
+        self._update_calm(
+            limit,
+            fleet,
+            now,
+            demand=demand,
+            informed=informed,
+        )
+        sums, rate = self._sum_up(limit, informed=informed)
         self._shares = limits.divide_rate(
             rate * fleet.limit_share,
             {kind: change * units for kind, units in demands.items()},
             small_rate=SMALL_SHARE * target * fleet.limit_share,
         )
-        self._limited = demand > rate
+        self._limited = demand > rate and not self._calm
         self._plan_rate = min(rate, demand)
         slot = record.find_slot(index)
         slot.planned = self._plan_rate * rate_records.SLOT_SECONDS
         slot.limited = self._limited
-        slot.part = min(1.0, rate / demand) if demand else 1.0
+        slot.part = min(1.0, rate / demand) if self._limited else 1.0
         own_share = 1 / fleet.host_count
         if informed:
             own_share = fleet.limit_share * record.measure_own_share(
@@ -259,6 +293,81 @@
                 own_share * requests / max(1e-9, self._guard.mean_units)
             )
 
+    def _sum_up(
+        self, limit: limits.Limit, *, informed: bool
+    ) -> tuple[rate_records.WindowSums, float]:
+        """Return the window's sums and what the fleet should admit."""
+        target = TARGET_SHARE * limit.sum / limit.window
+        sums = self._record.sum_window(
+            self._planned_index,
+            slots=int(limit.window / rate_records.SLOT_SECONDS),
+            full=target * rate_records.SLOT_SECONDS,
+        )
+        rate = choose_rate(sums, limit=limit, target=target)
+        if not informed:
+            # What the fleet admitted is unknown, so nothing is made up for.
+            rate = min(rate, target)
+        return sums, rate
+
+    def _update_calm(
+        self,
+        limit: limits.Limit,
+        fleet: limits.FleetView,
+        now: float,
+        *,
+        demand: float,
+        informed: bool,
+    ) -> None:
+        """Decide whether the rate is divided, and renew the calm guard."""
+        record = self._record
+        typical = calm_guards.estimate_typical(
+            limit, self._guard.typical_units, self._guard.size_count
+        )
+        self._planned_known = record.known
+        if self._first_at is None:
+            self._first_at = now
+        if not informed:
+            # The whole room: what others admitted before isn't known yet.
+            self._calm = (
+                record.known_at is None
+                and now - self._first_at < MAX_AGE_SECONDS
+            )
+            self._calm_guard.set_room(
+                limit.bound / fleet.host_count, typical=typical
+            )
+            return
+        target = TARGET_SHARE * limit.sum / limit.window
+        known, planned = record.sum_known(
+            self._planned_index,
+            slots=int(limit.window / rate_records.SLOT_SECONDS),
+            before=min(demand, target) * rate_records.SLOT_SECONDS,
+        )
+        self._calm_guard.update(
+            limit,
+            total=known + planned,
+            demand=demand,
+            rate=self._sum_up(limit, informed=True)[1],
+            target=target,
+            typical=typical,
+            now=now,
+        )
+        own_share = fleet.limit_share * record.measure_own_share(
+            host_count=fleet.host_count, mean_units=self._guard.mean_units
+        )
+        self._calm_guard.set_room(
+            own_share * (limit.bound - known), typical=typical
+        )
+        self._calm = not self._calm_guard.over
+        if self._calm:
+            self._calm_until = self._planned_index
+            return
+        # All was admitted before the rise was known, up to the room.
+        record.raise_planned(
+            self._calm_until,
+            amount=demand * rate_records.SLOT_SECONDS,
+            most=max(0.0, limit.bound - known),
+        )
+
     def _is_due(self, kind: int, share: float) -> bool:
         """Tell whether the next request of a class is admitted.
 
--- a/buckthornhold/scheduling/surge_guards.py
+++ b/buckthornhold/scheduling/surge_guards.py
@@ -49,6 +49,7 @@
     def __init__(self) -> None:
         self._mean_units = 0.0
         self._mean_square = 0.0
+        self._size_count = 0
         #: Units that the plan expects since the others' latest figures.
         self._expected = 0.0
         self._reserve = 0.0
@@ -62,6 +63,16 @@
         """Mean size of this host's requests."""
         return self._mean_units
 
+    @property
+    def size_count(self) -> int:
+        """Number of this host's requests, up to those that count."""
+        return self._size_count
+
+    @property
+    def typical_units(self) -> float:
+        """Mean size of the request that a random unit belongs to."""
+        return self._mean_square / max(1.0, self._mean_units)
+
     @property
     def usual_part(self) -> float:
         """Part of the present demand that is usual; 1 without a rise."""
@@ -69,6 +80,7 @@
 
     def note_size(self, units: float) -> None:
         """Include a request in the means of the sizes."""
+        self._size_count = min(self._size_count + 1, int(1 / SIZE_WEIGHT))
         if not self._mean_units:
             self._mean_units, self._mean_square = units, units * units
         self._mean_units += SIZE_WEIGHT * (units - self._mean_units)
@@ -109,7 +121,7 @@
         ``load`` is the demand relative to the limit, at most 1.
         """
         self._expected = expected
-        typical = self._mean_square / max(1.0, self._mean_units)
+        typical = self.typical_units
         # Standard deviation of a sum of requests that arrive at random.
         noise = math.sqrt(typical * expected)
         self._reserve = max(
--- a/measurements/shared_limits.py
+++ b/measurements/shared_limits.py
@@ -12,6 +12,7 @@
 import collections
 import dataclasses
 import heapq
+import itertools
 import json
 import random
 
@@ -36,18 +37,13 @@
 PLAIN_TOKENS = 200
 #: Time that callers have; they return within a third of what is left.
 CALLER_SECONDS = 10.0
-LIMIT = RATE * WINDOW_SECONDS + BURST
-BOUND = LIMIT * (1 + OVERAGE) + SLACK
+#: Sizes of calm cases are Pareto-distributed within these bounds.
+CALM_SIZES = (800.0, 11_000.0)
+CALM_TAIL = 1.1
+CALM_URGENCIES = (0, 1, 2)
 #: Ways to admit: today's code and the alternatives.
 WAYS = ("today", "shared", "equal", "demand", "lease")
 FAULTS = ("none", "join", "killed", "partition", "early-partition", "mixed")
-WORKSPACE = routes.Workspace(
-    name="w",
-    rate=RATE,
-    burst=BURST,
-    counts_tokens=True,
-    plain_tokens=PLAIN_TOKENS,
-)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -71,6 +67,20 @@
     hot_seconds: float
     fault: str
     returns: bool
+    rate: float = RATE
+    #: Whether all the time is calm, with sizes of CALM_SIZES, and counts
+    #: from the start on.
+    calm: bool = False
+
+    @property
+    def limit(self) -> float:
+        """Units that a window may admit; the burst is a rate-second."""
+        return self.rate * WINDOW_SECONDS + self.rate
+
+    @property
+    def bound(self) -> float:
+        """Units that a window never exceeds."""
+        return self.limit * (1 + OVERAGE) + SLACK
 
 
 class Host:
@@ -93,7 +103,14 @@
         self.plan = plan
         self.now = 1000.0
         self._draw = random.Random(plan.seed)
-        self._pool = limit_ways.LeasePool(rate=LIMIT / WINDOW_SECONDS)
+        self._workspace = routes.Workspace(
+            name="w",
+            rate=plan.rate,
+            burst=plan.rate,
+            counts_tokens=True,
+            plain_tokens=PLAIN_TOKENS,
+        )
+        self._pool = limit_ways.LeasePool(rate=plan.limit / WINDOW_SECONDS)
         self.hosts = []
         self.split = False
         self.split_noticed = False
@@ -114,6 +131,10 @@
         self.admitted: list[tuple[float, float]] = []
         self.asked: list[tuple[float, float]] = []
         self.tally: collections.Counter = collections.Counter()
+        self.start = self.now
+        #: Requests and refusals of calm cases, by WINDOW_SECONDS.
+        self.periods: collections.Counter = collections.Counter()
+        self.longest_wait = 0.0
         self.calm_refused = 0
         self.calm_asked = 0
         self.calm_lost = 0
@@ -121,7 +142,7 @@
     def make_quotas(self, host: Host):
         """Return the quotas of a host, in the way that is played."""
         common = {
-            "rate": LIMIT / WINDOW_SECONDS,
+            "rate": self.plan.limit / WINDOW_SECONDS,
             "window": WINDOW_SECONDS,
             "count_hosts": lambda: sum(it.alive for it in self.hosts),
             "clock": lambda: self.now,
@@ -167,6 +188,8 @@
             weight for _, weight, _ in KINDS
         )
         mean += LARGEST_SHARE * KINDS[0][1] / 502 * (LARGEST - KINDS[0][0])
+        if plan.calm:
+            mean = compute_calm_mean()
         ticks = []
         for host in self.hosts:
             heapq.heappush(
@@ -207,9 +230,11 @@
                 self._send(request, hot, cool)
             else:
                 is_hot = hot <= self.now < cool
-                factor = plan.factor if is_hot else CALM_SHARE
+                factor = CALM_SHARE
+                if is_hot and not plan.calm:
+                    factor = plan.factor
                 self._send(self._make_request(), hot, cool)
-                arrival += self._draw.expovariate(factor * RATE / mean)
+                arrival += self._draw.expovariate(factor * plan.rate / mean)
         return self._report(start + WARM_UP_SECONDS, hot, cool, end)
 
     def _list_faults(self, hot: float) -> list:
@@ -247,6 +272,12 @@
         return []
 
     def _make_request(self) -> Request:
+        if self.plan.calm:
+            return Request(
+                units=draw_calm_size(self._draw),
+                urgency=self._draw.choice(CALM_URGENCIES),
+                deadline=self.now + CALLER_SECONDS,
+            )
         units, _, urgency = self._draw.choices(
             KINDS, [weight for _, weight, _ in KINDS]
         )[0]
@@ -260,7 +291,7 @@
         alive = [it for it in self.hosts if it.alive]
         host = self._draw.choices(alive, [it.weight for it in alive])[0]
         wait = host.quotas.admit(
-            WORKSPACE,
+            self._workspace,
             request.units,
             urgency=request.urgency,
             returning=request.tries > 0,
@@ -269,7 +300,12 @@
             self.asked.append((self.now, request.units))
             if hot <= self.now < cool:
                 self.tally["asked", request.units, request.urgency] += 1
-        if hot - CALM_SECONDS <= self.now < hot:
+        if self.plan.calm:
+            period = int((self.now - self.start) / WINDOW_SECONDS)
+            self.periods["asked", period] += 1
+            self.periods["refused", period] += wait > 0
+            self.longest_wait = max(self.longest_wait, wait)
+        if self.plan.calm or hot - CALM_SECONDS <= self.now < hot:
             self.calm_asked += 1
             self.calm_refused += wait > 0
             self.calm_lost += wait > (request.deadline - self.now) / 3
@@ -287,7 +323,7 @@
         heapq.heappush(self._returning, (returns_at, self._count, request))
 
     def _publish(self, host: Host) -> None:
-        uses = host.quotas.publish_uses((WORKSPACE,))
+        uses = host.quotas.publish_uses((self._workspace,))
         own = read_totals(uses.get("w"))
         key = (host.number, 0)
         last = self._last.get(key)
@@ -328,6 +364,29 @@
             aggregated=True,
         )
 
+    def _report_calm(self) -> dict:
+        plan = self.plan
+        periods = range(int((self.now - self.start) / WINDOW_SECONDS))
+        return {
+            "way": plan.way,
+            "hosts": plan.hosts,
+            "rate": plan.rate,
+            "seed": plan.seed,
+            "asked": self.calm_asked,
+            "calm_refused": round(
+                self.calm_refused / max(1, self.calm_asked), 5
+            ),
+            "by_period": [
+                round(
+                    self.periods["refused", it]
+                    / max(1, self.periods["asked", it]),
+                    4,
+                )
+                for it in periods
+            ],
+            "longest_wait": round(self.longest_wait, 2),
+        }
+
     def _report(
         self, start: float, hot: float, cool: float, end: float
     ) -> dict:
@@ -345,11 +404,13 @@
                 at += 0.05
             return found
 
+        if self.plan.calm:
+            return self._report_calm()
         every = sum_windows(self.admitted, start, end)
         inside = sum_windows(self.admitted, hot, cool)
         asked = sum_windows(self.asked, hot, cool)
         shares = [
-            got / min(LIMIT, want)
+            got / min(self.plan.limit, want)
             for got, want in zip(inside, asked, strict=True)
         ]
         sizes, urgencies = {}, collections.Counter()
@@ -366,8 +427,8 @@
             "factor": plan.factor,
             "fault": plan.fault,
             "seed": plan.seed,
-            "most": round(max(every) / LIMIT, 3),
-            "over_bound": max(every) > BOUND,
+            "most": round(max(every) / plan.limit, 3),
+            "over_bound": max(every) > plan.bound,
             "least": round(min(shares), 3),
             "mean": round(sum(shares) / len(shares), 3),
             "by_size": sizes,
@@ -384,6 +445,21 @@
         }
 
 
+def draw_calm_size(draw: random.Random) -> float:
+    """Return a size of a calm case."""
+    least, most = CALM_SIZES
+    rest = 1 - (least / most) ** CALM_TAIL
+    return least * (1 - draw.random() * rest) ** (-1 / CALM_TAIL)
+
+
+def compute_calm_mean() -> float:
+    """Return the mean size of calm cases."""
+    least, most = CALM_SIZES
+    part = (least / most) ** CALM_TAIL
+    factor = CALM_TAIL / (CALM_TAIL - 1)
+    return factor * (least - most * part) / (1 - part)
+
+
 def read_totals(use) -> dict:
     """Return a use's totals by name."""
     if use is None:
@@ -416,22 +492,30 @@
     parser.add_argument("--seeds", nargs="+", type=int, default=(1,))
     parser.add_argument("--hot", type=float, default=8.0)
     parser.add_argument("--no-returns", action="store_true")
+    parser.add_argument("--rates", nargs="+", type=float, default=(RATE,))
+    parser.add_argument("--calm", action="store_true")
     options = parser.parse_args()
-    for hosts in options.hosts:
-        for factor in options.factors:
-            for fault in options.faults:
-                for way in options.ways:
-                    for seed in options.seeds:
-                        plan = Plan(
-                            way=way,
-                            hosts=hosts,
-                            factor=factor,
-                            seed=seed,
-                            hot_seconds=options.hot,
-                            fault=fault,
-                            returns=not options.no_returns,
-                        )
-                        print(json.dumps(Play(plan).run()), flush=True)
+    cases = itertools.product(
+        options.hosts,
+        options.rates,
+        (CALM_SHARE,) if options.calm else options.factors,
+        options.faults,
+        options.ways,
+        options.seeds,
+    )
+    for hosts, rate, factor, fault, way, seed in cases:
+        plan = Plan(
+            way=way,
+            hosts=hosts,
+            factor=factor,
+            seed=seed,
+            hot_seconds=options.hot,
+            fault=fault,
+            returns=not options.no_returns,
+            rate=rate,
+            calm=options.calm,
+        )
+        print(json.dumps(Play(plan).run()), flush=True)
 
 
 if __name__ == "__main__":
