--- a/buckthornhold/scheduling/calm_guards.py
+++ b/buckthornhold/scheduling/calm_guards.py
@@ -18,19 +18,19 @@
 #: Time that the demand is below the rate before the rate isn't divided any
 #: more, in seconds. Returning callers make the demand vary within it.
 CALM_SECONDS = 1.0
-#: What a host may always admit within some seconds, in typical requests: a
-#: clump is chance. Counting it since the latest figures instead would renew
-#: it with each report during a surge.
+#: A request is always admitted if less than this, in typical requests, was
+#: requested of the host within some seconds: a clump of two is chance. Counting
+#: what was admitted instead would renew it during a surge.
 LEAST_REQUESTS = 3.0
-LEAST_SECONDS = 2.5
+LEAST_SECONDS = 1.25
 #: Size that is taken for typical before sizes are known, as a part of the
 #: slack, and the number of requests that it counts as. The first request
 #: alone may be far smaller than the next one.
 UNKNOWN_SLACK_PART = 1 / 12
 UNKNOWN_REQUESTS = 8
-#: Typical requests that are kept back of a host's part of the room, as its
-#: last request may exceed the allowance by half of one on average.
-LAST_REQUESTS = 0.5
+#: Typical requests that are kept back of a host's part of the room: its last
+#: request may exceed the allowance, and others come by the least one.
+LAST_REQUESTS = 1.3
 
 
 class CalmGuard:
@@ -51,7 +51,8 @@
         """Tell whether a request is admitted while the limit isn't reached.
 
         ``unreported`` are the units that this host admitted since the
-        others' latest figures, ``recent`` those of LEAST_SECONDS.
+        others' latest figures, ``recent`` those that were requested of it
+        within LEAST_SECONDS.
         """
         return unreported < self._allowance or recent < self._least
 
--- a/buckthornhold/scheduling/rate_records.py
+++ b/buckthornhold/scheduling/rate_records.py
@@ -233,9 +233,7 @@
                 planned += slot.planned
         return total, planned
 
-    def raise_planned(
-        self, last: int, *, amount: float, most: float
-    ) -> None:
+    def raise_planned(self, last: int, *, amount: float, most: float) -> None:
         """Raise the plan of slots that the others' figures don't cover.
 
         Up to the slot ``last``, each to ``amount``, and ``most`` in all.
@@ -299,6 +297,14 @@
         """Return what this host admitted from a slot on."""
         return sum(slot.own for at, slot in self._slots.items() if at >= index)
 
+    def sum_own_requested(self, last: int, seconds: float) -> float:
+        """Return the own requested units of the time that ends with a slot."""
+        return sum(
+            sum(self._slots[at].own_requested.values())
+            for at in range(last - _count_slots(seconds) + 1, last + 1)
+            if at in self._slots
+        )
+
     def _average_demands(
         self, last: int, seconds: float, limit_share: float
     ) -> collections.Counter[int]:
--- a/buckthornhold/scheduling/shared_rates.py
+++ b/buckthornhold/scheduling/shared_rates.py
@@ -149,9 +149,8 @@
         # one; until then what they cover still counts as unreported.
         record = self._record
         unreported = record.sum_own_since(self._planned_known + 1)
-        recent = record.sum_own_since(
-            self._planned_index
-            - int(calm_guards.LEAST_SECONDS / rate_records.SLOT_SECONDS)
+        recent = record.sum_own_requested(
+            self._planned_index, calm_guards.LEAST_SECONDS
         )
         slot.own_requested[ticket.kind] += ticket.demand
         slot.own_count += ticket.weight
@@ -354,6 +353,8 @@
         own_share = fleet.limit_share * record.measure_own_share(
             host_count=fleet.host_count, mean_units=self._guard.mean_units
         )
+        # The measured share is partly chance on hosts with few requests.
+        own_share = (own_share + fleet.limit_share / fleet.host_count) / 2
         self._calm_guard.set_room(
             own_share * (limit.bound - known), typical=typical
         )
--- a/features/limits/shared_rates.feature
+++ b/features/limits/shared_rates.feature
@@ -27,6 +27,20 @@
     When shared rates: 9 hosts get 1 times the rate, fault "none", seed 5
     Then shared rates: 0.95 of the requested units are admitted
 
+  # Guards against refusals below the limit: clumps of few requests that are
+  # taken for a surge, also in the first seconds after all hosts start.
+  Scenario Outline: Below the limit requests are admitted from the start on
+    When shared rates: <hosts> hosts get 0.55 of <rate> units a second, seed <seed>
+    Then shared rates: less than <part> of the requests are refused
+    And shared rates: no refused request waits longer than 0.6 seconds
+
+    Examples:
+      | hosts | rate   | seed | part  |
+      | 9     | 13000  | 6    | 0.002 |
+      | 21    | 30000  | 7    | 0.002 |
+      | 80    | 13000  | 8    | 0.002 |
+      | 21    | 508807 | 9    | 0.002 |
+
   Scenario: Urgent requests go first and others keep a floor
     When shared rates: urgencies 0, 1 and 2 request 600, 600 and 600 units a second of 1000
     Then shared rates: their parts are 1.00, 0.50 and 0.17
--- a/features/steps/shared_rates_steps.py
+++ b/features/steps/shared_rates_steps.py
@@ -52,6 +52,27 @@
     play(context, hosts=hosts, factor=factor, seed=1, fault="mixed")
 
 
+@behave.when(
+    "shared rates: {hosts:d} hosts get 0.55 of {rate:g} units a second, "
+    "seed {seed:d}"
+)
+def play_calm(context, hosts, rate, seed):
+    factor = shared_limits.CALM_SHARE
+    play(context, hosts=hosts, factor=factor, seed=seed, rate=rate, calm=True)
+
+
+@behave.then("shared rates: less than {part:g} of the requests are refused")
+def check_calm(context, part):
+    assert context.report["calm_refused"] < part
+
+
+@behave.then(
+    "shared rates: no refused request waits longer than {seconds:g} seconds"
+)
+def check_longest_wait(context, seconds):
+    assert context.report["longest_wait"] <= seconds
+
+
 @behave.then("shared rates: no window is over the bound")
 def check_bound(context):
     assert not context.report["over_bound"]
