--- a/buckthornhold/scheduling/shared_rates.py
+++ b/buckthornhold/scheduling/shared_rates.py
@@ -81,6 +81,8 @@
         #: Whether this host decides by the calm guard.
         self._calm = True
         self._first_at: float | None = None
+        #: What the others had admitted by their first report.
+        self._first_total: float | None = None
         self._planned_index = rate_records.find_index(started_at) - 1
         #: Last slot that the others' figures covered when it was planned.
         self._planned_known = self._record.known
@@ -192,6 +194,11 @@
             admitted, requested, source=source, since=since, until=until
         )
 
+    def note_first_total(self, admitted: float) -> None:
+        """Note what the others admitted by their first report."""
+        if self._first_total is None:
+            self._first_total = admitted
+
     def assume_planned(self, *, until: float) -> None:
         """Take the plan for what the others did until a time.
 
@@ -329,19 +336,16 @@
         if self._first_at is None:
             self._first_at = now
         if not informed:
-            # A host that joins a fleet at its limit also starts like this, so
-            # it doesn't use its part of a whole window.
-            # A host alone needs no others' figures.
-            self._calm = (
-                record.known_at is None
-                and fleet.host_count > 1
-                and now - self._first_at < MAX_AGE_SECONDS
-            )
-            self._calm_guard.set_room(
-                UNKNOWN_SECONDS * limit.rate / fleet.host_count
-                + calm_guards.LAST_REQUESTS * typical,
-                typical=typical,
-            )
+            # The first total of the others covers their whole time: if it is
+            # below the limit, the fleet has just started. Else this host
+            # joins one that may be at its limit.
+            total = self._first_total
+            room = UNKNOWN_SECONDS * limit.rate
+            room += calm_guards.LAST_REQUESTS * typical * fleet.host_count
+            if total is not None:
+                room = limit.bound - total
+                self._calm = self._calm and total < limit.sum
+            self._calm_guard.set_room(room / fleet.host_count, typical=typical)
             return
         target = TARGET_SHARE * limit.sum / limit.window
         known, planned = record.sum_known(
--- a/buckthornhold/shared_quotas.py
+++ b/buckthornhold/shared_quotas.py
@@ -151,6 +151,7 @@
                     until=counted_at,
                 )
             elif aggregated:
+                own.rate.note_first_total(use.admitted)
                 own.rate.assume_planned(until=counted_at)
 
     def retain(self, processes: set[tuple[str, int]]) -> None:
