--- a/buckthornhold/scheduling/shared_rates.py
+++ b/buckthornhold/scheduling/shared_rates.py
@@ -336,6 +336,12 @@
         if self._first_at is None:
             self._first_at = now
         if not informed:
+            # A host alone needs no others' figures.
+            self._calm = (
+                record.known_at is None
+                and fleet.host_count > 1
+                and now - self._first_at < MAX_AGE_SECONDS
+            )
             # The first total of the others covers their whole time: if it is
             # below the limit, the fleet has just started. Else this host
             # joins one that may be at its limit.
