--- a/buckthornhold/quotas.py
+++ b/buckthornhold/quotas.py
@@ -5,13 +5,21 @@
 While little is left, each host admits at most its allowance between two
 summaries, its share of what is left. A host that may still run but sends no
 summaries is assumed to use an equal share of the limit.
+
+With ``shared`` the rates are divided among the hosts by their demand instead;
+see ``shared_quotas``.
 """
 
 from collections.abc import Callable
 import math
+import random
 import time
 
+from buckthornhold import counters
+from buckthornhold import limit_uses
+from buckthornhold import relay_settings
 from buckthornhold import routes
+from buckthornhold import shared_quotas
 
 #: Lower bound of the Retry-After that a refused caller gets.
 MIN_RETRY_AFTER_SECONDS = 0.2
@@ -75,7 +83,9 @@
     A limit is ``rate`` times ``window_seconds`` plus ``burst`` units in any
     window. ``count_hosts`` returns the number of hosts that share the limits.
     ``read_limit_share`` returns the share of the limits that the hosts with
-    recent summaries may use: 1 unless a host is silent.
+    recent summaries may use: 1 unless a host is silent. ``overage`` and
+    ``slack`` say by how much a limit may be exceeded; they, ``draw`` and
+    ``notify`` are used for shared rates only.
     """
 
     def __init__(
@@ -85,7 +95,24 @@
         count_hosts: Callable[[], int] = lambda: 1,
         read_limit_share: Callable[[], float] = lambda: 1.0,
         clock: Callable[[], float] = time.monotonic,
+        shared: bool = False,
+        overage: float = 0.0,
+        slack: float = 0.0,
+        draw: random.Random | None = None,
+        notify: Callable[[limit_uses.LimitChange], None] = lambda _: None,
     ) -> None:
+        self._shared = None
+        if shared:
+            self._shared = shared_quotas.SharedQuotas(
+                window_seconds=window_seconds,
+                overage=overage,
+                slack=slack,
+                count_hosts=count_hosts,
+                read_limit_share=read_limit_share,
+                clock=clock,
+                draw=draw or random.Random(),
+                notify=notify,
+            )
         self._window_seconds = window_seconds
         self._count_hosts = count_hosts
         self._read_limit_share = read_limit_share
@@ -93,15 +120,27 @@
         self._buckets: dict[str, _TokenBucket] = {}
         self._remote_usage: dict[tuple[str, int], dict[str, float]] = {}
 
-    def admit(self, workspace: routes.Workspace, units: float) -> float:
+    def admit(
+        self,
+        workspace: routes.Workspace,
+        units: float,
+        *,
+        urgency: int = 0,
+        returning: bool = False,
+    ) -> float:
         """Admit a request and return 0, or return the seconds to wait.
 
         A request may be larger than what is left; the level falls below zero
         and later requests wait. Otherwise small requests would starve large
-        ones.
+        ones. ``urgency`` and ``returning``, whether the request was refused
+        before, count for shared rates only.
         """
         if not workspace.rate:
             return 0.0
+        if self._shared is not None:
+            return self._shared.admit(
+                workspace, units, urgency=urgency, returning=returning
+            )
         bucket = self._refill(workspace)
         if bucket.level <= 0.0:
             rate = self._compute_refill_rate(workspace)
@@ -114,8 +153,13 @@
         bucket.unpublished += units
         return 0.0
 
-    def refund(self, workspace: routes.Workspace, units: float) -> None:
+    def refund(
+        self, workspace: routes.Workspace, units: float, *, urgency: int = 0
+    ) -> None:
         """Give back the units of a request that was not run."""
+        if self._shared is not None:
+            self._shared.refund(workspace, units, urgency=urgency)
+            return
         bucket = self._buckets.get(workspace.name)
         if bucket is None:
             return
@@ -158,8 +202,47 @@
                 bucket.level -= total - previous
                 bucket.remote_admitted += total - previous
 
+    def publish_uses(
+        self, workspaces: tuple[routes.Workspace, ...]
+    ) -> dict[str, limit_uses.Use]:
+        """Return the units since the process started, by workspace.
+
+        Must be called once for each summary, as ``publish_admitted``.
+        """
+        if self._shared is not None:
+            return self._shared.publish_uses(workspaces)
+        admitted = self.publish_admitted(workspaces)
+        return {
+            name: limit_uses.Use(admitted=units)
+            for name, units in admitted.items()
+        }
+
+    def apply_remote_uses(
+        self,
+        process: tuple[str, int],
+        uses: dict[str, limit_uses.Use],
+        *,
+        age: float = 0.0,
+        aggregated: bool = False,
+    ) -> None:
+        """Apply what another process, or several, reported.
+
+        ``age`` is the seconds since the units were counted, ``aggregated``
+        whether they are those of several hosts.
+        """
+        if self._shared is not None:
+            self._shared.apply_remote_uses(
+                process, uses, age=age, aggregated=aggregated
+            )
+            return
+        self.apply_remote_usage(
+            process, {name: use.admitted for name, use in uses.items()}
+        )
+
     def retain(self, processes: set[tuple[str, int]]) -> None:
         """Forget the reported usage of all processes but these."""
+        if self._shared is not None:
+            self._shared.retain(processes)
         for process in self._remote_usage.keys() - processes:
             del self._remote_usage[process]
 
@@ -197,6 +280,26 @@
         return bucket
 
 
+def make_quotas(
+    config: relay_settings.RelaySettings,
+    *,
+    count_hosts: Callable[[], int],
+    read_limit_share: Callable[[], float],
+    logger,
+    counts: counters.Counters,
+) -> Quotas:
+    """Return the quotas of a host with these settings."""
+    return Quotas(
+        window_seconds=config.bounds.limit_window,
+        count_hosts=count_hosts,
+        read_limit_share=read_limit_share,
+        shared=config.scheduling.shared_limits,
+        overage=config.bounds.limit_overage,
+        slack=config.bounds.limit_slack,
+        notify=limit_uses.ChangeLog(logger=logger, counts=counts).note,
+    )
+
+
 def compute_depth(workspace: routes.Workspace) -> float:
     """Return the units of a workspace's limit that may be admitted at once."""
     return min(workspace.burst, BURST_SECONDS * workspace.rate)
--- a/buckthornhold/relay_hosts.py
+++ b/buckthornhold/relay_hosts.py
@@ -25,6 +25,7 @@
 from buckthornhold import exchanges
 from buckthornhold import fleet_orders
 from buckthornhold import fleet_sizes
+from buckthornhold import limit_uses
 from buckthornhold import links
 from buckthornhold import logs
 from buckthornhold import memory_budgets
@@ -145,10 +146,12 @@
         )
         self.placements = placements.Placements(regions=config.zone_regions)
         self.upstreams = relay_upstreams.RelayUpstreams(host=self)
-        self.quotas = quotas.Quotas(
-            window_seconds=config.bounds.limit_window,
+        self.quotas = quotas.make_quotas(
+            config,
             count_hosts=self.count_hosts,
             read_limit_share=self._compute_limit_share,
+            logger=self.logger,
+            counts=self.counters,
         )
         self.usage = usages.UsageCounter(
             window_seconds=config.bounds.usage_window,
@@ -330,21 +333,23 @@
             reason=failure.reason.value,
         ).info(f"retrying: {failure.detail}")
 
-    def apply_summary(self, summary: summaries_pb2.Summary) -> None:
-        """Apply another host's summary to the parts that use it."""
-        process = (summary.host, summary.incarnation)
-        uses = {use.workspace: use.units for use in summary.uses}
-        self.quotas.apply_remote_usage(process, uses)
+    def apply_summary(
+        self, summary: summaries_pb2.Summary, age: float = 0.0
+    ) -> None:
+        """Apply another host's summary of figures ``age`` seconds old."""
+        self.quotas.apply_remote_uses(
+            (summary.host, summary.incarnation),
+            limit_uses.read_uses(summary),
+            age=age,
+            aggregated=summary.hosts > 0,
+        )
         self.upstreams.apply_summary(summary)
         self.upstreams.update_remote_load()
 
     def _fill_summary(self, summary: summaries_pb2.Summary) -> None:
         current = self.configurations.current
-        admitted = self.quotas.publish_admitted(
-            current.workspaces if current else ()
-        )
-        for workspace, units in admitted.items():
-            summary.uses.add(workspace=workspace, units=units)
+        known = current.workspaces if current else ()
+        limit_uses.write_uses(summary, self.quotas.publish_uses(known))
         summary.demands.update(self.demands.read())
 
     def count_hosts(self) -> int:
--- a/buckthornhold/summaries.py
+++ b/buckthornhold/summaries.py
@@ -89,8 +89,8 @@
         #: Aggregate of all other hosts, from the own zone's collector.
         self._rest_of_fleet: received_summaries.ReceivedSummary | None = None
         self._aggregator = summary_aggregates.SummaryAggregator()
-        #: Latest own summaries, by number.
-        self._own_summaries: dict[int, summaries_pb2.Summary] = {}
+        #: Latest own summaries, by number, and when they were made.
+        self._own_summaries: dict[int, tuple] = {}
         self._sending = tasks.TaskSet(
             logger=host.logger, counters=host.counters
         )
@@ -315,7 +315,8 @@
         for fill in self._sources:
             fill(summary)
         self._store_age.fill_summary(summary)
-        self._own_summaries[self._number] = summary
+        now = pause_detectors.read_boot_clock()
+        self._own_summaries[self._number] = summary, now
         self._own_summaries.pop(self._number - MAX_OWN_SUMMARIES, None)
         return summary
 
@@ -331,7 +332,7 @@
 
     def _apply_fleet_aggregate(self, reply: summaries_pb2.TellReply) -> None:
         """Store the aggregate of all hosts, after subtracting this one."""
-        own = self._own_summaries.get(reply.included)
+        own, made_at = self._own_summaries.get(reply.included, (None, 0.0))
         if not reply.HasField("sum") or own is None:
             return
         total = reply.sum
@@ -354,7 +355,8 @@
                 total, self._rest_of_fleet.summary
             )
         self._rest_of_fleet = self._make_received(total)
-        self._host.apply_summary(total)
+        age = pause_detectors.read_boot_clock() - made_at
+        self._host.apply_summary(total, age=age)
 
     def _is_malformed(self, summary: summaries_pb2.Summary) -> bool:
         """Tell whether a figure can't be used; log and count it."""
