--- a/buckthornhold/scheduling/shared_rates.py
+++ b/buckthornhold/scheduling/shared_rates.py
@@ -18,25 +18,10 @@
 
 from buckthornhold.scheduling import calm_guards
 from buckthornhold.scheduling import limits
+from buckthornhold.scheduling import planned_rates
 from buckthornhold.scheduling import rate_records
 from buckthornhold.scheduling import surge_guards
 
-#: What is aimed at, as a share of the limit, and between which shares the
-#: sum of a window is kept. Callers are due 0.95 and the bound allows 1.1 and
-#: more, so both sides have a margin for chance.
-TARGET_SHARE = 1.03
-LEAST_SHARE = 1.02
-MOST_SHARE = 1.06
-#: Time in which the sum of a window is corrected, in seconds. Corrections
-#: within the age of the figures (up to 2 s) oscillate.
-CORRECTION_SECONDS = 2.0
-#: Highest planned rate relative to the target while the window has room, and
-#: time in which that room may be used up, in seconds.
-MAX_PLAN_FACTOR = 1.5
-ROOM_SECONDS = 3.0
-#: Highest planned rate, relative to the target, that makes up for what
-#: leaves the window.
-MAX_REPEAT_FACTOR = 3.0
 #: Part of the limit's rate up to which small requests precede all urgencies.
 SMALL_SHARE = 0.2
 #: Age from which the others' figures aren't used any more, in seconds.
@@ -239,7 +224,7 @@
     ) -> None:
         record = self._record
         index = self._planned_index
-        target = TARGET_SHARE * limit.sum / limit.window
+        target = planned_rates.TARGET_SHARE * limit.sum / limit.window
         record.note_limit_share(fleet.limit_share, index)
         age = self.compute_age(now)
         informed = age is not None and age <= MAX_AGE_SECONDS
@@ -306,13 +291,13 @@
         self, limit: limits.Limit, *, informed: bool
     ) -> tuple[rate_records.WindowSums, float]:
         """Return the window's sums and what the fleet should admit."""
-        target = TARGET_SHARE * limit.sum / limit.window
+        target = planned_rates.TARGET_SHARE * limit.sum / limit.window
         sums = self._record.sum_window(
             self._planned_index,
             slots=int(limit.window / rate_records.SLOT_SECONDS),
             full=target * rate_records.SLOT_SECONDS,
         )
-        rate = choose_rate(sums, limit=limit, target=target)
+        rate = planned_rates.choose_rate(sums, limit=limit, target=target)
         if not informed:
             # What the fleet admitted is unknown, so nothing is made up for.
             rate = min(rate, target)
@@ -353,7 +338,7 @@
                 self._calm = self._calm and total < limit.sum
             self._calm_guard.set_room(room / fleet.host_count, typical=typical)
             return
-        target = TARGET_SHARE * limit.sum / limit.window
+        target = planned_rates.TARGET_SHARE * limit.sum / limit.window
         known, planned = record.sum_known(
             self._planned_index,
             slots=int(limit.window / rate_records.SLOT_SECONDS),
@@ -410,21 +395,3 @@
         wait = min(MAX_RETRY_SECONDS, wait)
         jitter = self._draw.uniform(1 - RETRY_JITTER, 1 + RETRY_JITTER)
         return max(MIN_RETRY_SECONDS, wait * jitter)
-
-
-def choose_rate(
-    sums: rate_records.WindowSums, *, limit: limits.Limit, target: float
-) -> float:
-    """Return the units a second that the fleet should admit.
-
-    That is the target, unless the sum of the window would leave its range:
-    what leaves the window may be admitted anew.
-    """
-    room = max(0.0, LEAST_SHARE * limit.sum - sums.total)
-    rate = min(MAX_PLAN_FACTOR * target, target + room / ROOM_SECONDS)
-    missing = LEAST_SHARE * limit.sum - sums.potential
-    least = sums.leaving + missing / CORRECTION_SECONDS
-    excess = sums.total - MOST_SHARE * limit.sum
-    most = sums.leaving - excess / CORRECTION_SECONDS
-    rate = max(rate, min(MAX_REPEAT_FACTOR * target, least))
-    return max(0.0, min(rate, most))
--- a/buckthornhold/summaries.py
+++ b/buckthornhold/summaries.py
@@ -35,9 +35,8 @@
 #: Number of other hosts up to which the fleet is a full mesh. A host sends
 #: 12 KB/s at about ten.
 FULL_MESH_MAX_PEERS = 11
-#: Number of hosts in a zone up to which each sends at INTERVAL_SECONDS. In a
-#: larger zone hosts send less often, so that the collector's load stays the
-#: same.
+#: Hosts in a zone up to which each sends at INTERVAL_SECONDS. Those of larger
+#: zones send less often, so that the collector's load stays the same.
 FULL_RATE_ZONE_HOSTS = 16
 #: Intervals without a summary after which a host may be partitioned off.
 MAX_AGE_INTERVALS = 3
--- a/buckthornhold/upstream_directories.py
+++ b/buckthornhold/upstream_directories.py
@@ -12,20 +12,11 @@
 import time
 
 from buckthornhold import stores
+from buckthornhold import watch_batches
 from buckthornhold.coordination import broadcasts
 from buckthornhold.coordination import store_eras
 
 TOPIC = "directory"
-#: Each upstream writes about once a second, and every host watches all of
-#: them. A host of a fleet of up to MIN_BATCH_HOSTS waits this long between two
-#: watches, so that one call returns several changes. Upstreams announce that
-#: they leave at least two seconds ahead.
-MIN_BATCH_SECONDS = 0.4
-MIN_BATCH_HOSTS = 12
-#: Hosts of larger fleets wait longer, up to this, so that the store's total
-#: load stays about the same. The bound is there because an upstream must get
-#: no requests two seconds after it announced that it leaves.
-MAX_BATCH_SECONDS = 1.2
 #: Upstreams write so often that a host asks its peers when a watch has
 #: returned nothing for this long.
 QUIET_MARGIN_SECONDS = 0.6
@@ -34,12 +25,6 @@
 REMOVED_RETENTION_SECONDS = 60.0
 
 
-def compute_batch_seconds(host_count: int) -> float:
-    """Return how long a host waits between two watches, in seconds."""
-    batch_seconds = MIN_BATCH_SECONDS * max(1.0, host_count / MIN_BATCH_HOSTS)
-    return min(MAX_BATCH_SECONDS, batch_seconds)
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class UpstreamRecord:
     """An upstream's own description of itself.
@@ -197,7 +182,7 @@
     @property
     def batch_seconds(self) -> float:
         """Wait between two watches, so that one returns several changes."""
-        return compute_batch_seconds(self._count_hosts())
+        return watch_batches.compute_batch_seconds(self._count_hosts())
 
     def list_records(self) -> list[UpstreamRecord]:
         """Return the upstreams that are listed, including leaving ones."""
--- a/measurements/shared_limits.py
+++ b/measurements/shared_limits.py
@@ -16,9 +16,9 @@
 import json
 import random
 
-from buckthornhold import limit_uses
 from buckthornhold import quotas
 from buckthornhold import routes
+from measurements import limit_cases
 from measurements import limit_ways
 
 RATE = 508_807.0
@@ -37,9 +37,6 @@
 PLAIN_TOKENS = 200
 #: Time that callers have; they return within a third of what is left.
 CALLER_SECONDS = 10.0
-#: Sizes of calm cases are Pareto-distributed within these bounds.
-CALM_SIZES = (800.0, 11_000.0)
-CALM_TAIL = 1.1
 CALM_URGENCIES = (0, 1, 2)
 #: Ways to admit: today's code and the alternatives.
 WAYS = ("today", "shared", "equal", "demand", "lease")
@@ -189,7 +186,7 @@
         )
         mean += LARGEST_SHARE * KINDS[0][1] / 502 * (LARGEST - KINDS[0][0])
         if plan.calm:
-            mean = compute_calm_mean()
+            mean = limit_cases.compute_calm_mean()
         ticks = []
         for host in self.hosts:
             heapq.heappush(
@@ -274,7 +271,7 @@
     def _make_request(self) -> Request:
         if self.plan.calm:
             return Request(
-                units=draw_calm_size(self._draw),
+                units=limit_cases.draw_calm_size(self._draw),
                 urgency=self._draw.choice(CALM_URGENCIES),
                 deadline=self.now + CALLER_SECONDS,
             )
@@ -324,7 +321,7 @@
 
     def _publish(self, host: Host) -> None:
         uses = host.quotas.publish_uses((self._workspace,))
-        own = read_totals(uses.get("w"))
+        own = limit_cases.read_totals(uses.get("w"))
         key = (host.number, 0)
         last = self._last.get(key)
         self._last[key] = own
@@ -359,7 +356,7 @@
         }
         host.quotas.apply_remote_uses(
             ("sum", 1),
-            {"w": make_use(others)},
+            {"w": limit_cases.make_use(others)},
             age=self.now - sampled_at + INTERVAL_SECONDS / 2,
             aggregated=True,
         )
@@ -445,43 +442,6 @@
         }
 
 
-def draw_calm_size(draw: random.Random) -> float:
-    """Return a size of a calm case."""
-    least, most = CALM_SIZES
-    rest = 1 - (least / most) ** CALM_TAIL
-    return least * (1 - draw.random() * rest) ** (-1 / CALM_TAIL)
-
-
-def compute_calm_mean() -> float:
-    """Return the mean size of calm cases."""
-    least, most = CALM_SIZES
-    part = (least / most) ** CALM_TAIL
-    factor = CALM_TAIL / (CALM_TAIL - 1)
-    return factor * (least - most * part) / (1 - part)
-
-
-def read_totals(use) -> dict:
-    """Return a use's totals by name."""
-    if use is None:
-        return {}
-    return {
-        "units": use.admitted,
-        **{f"{kind}": units for kind, units in use.requested.items()},
-    }
-
-
-def make_use(totals: dict):
-    """Return a use from totals by name."""
-    return limit_uses.Use(
-        admitted=totals.get("units", 0.0),
-        requested={
-            int(name): units
-            for name, units in totals.items()
-            if name != "units"
-        },
-    )
-
-
 def main() -> None:
     """Play all that the command line asks for."""
     parser = argparse.ArgumentParser(description=__doc__)
