--- a/features/steps/relay_directory_steps.py
+++ b/features/steps/relay_directory_steps.py
@@ -13,6 +13,7 @@
 from buckthornhold import stores
 from buckthornhold import upstream_directories
 from buckthornhold.coordination import broadcasts
+from buckthornhold.scheduling import placements
 
 PREFIX = "servers/"
 RETURN_SECONDS = 2.0
@@ -309,6 +310,7 @@
             add_source=lambda fill: None, publish=lambda: None
         ),
         engine_speeds=engine_speeds.EngineSpeeds(),
+        placements=placements.Placements(evacuated=()),
     )
     upstreams = relay_upstreams.RelayUpstreams(host=host)
 
