Log tallies that don't arrive, split the runs of shared limits

Change: the error is logged at debug level, the handlers say why they go on. Requests, sizes and reports of the runs are modules of their own.

--- a/buckthornhold/standins/platforms.py
+++ b/buckthornhold/standins/platforms.py
@@ -288,6 +288,7 @@
             try:
                 await asyncio.wait_for(self._changed.wait(), left)
             except TimeoutError:
+                # The watch's wait is over; the loop answers without changes.
                 continue
 
     async def _grant_lease(self, request: web.Request) -> web.Response:
--- a/buckthornhold/tally_collectors.py
+++ b/buckthornhold/tally_collectors.py
@@ -107,5 +107,9 @@
             return await stub.CollectTallies(
                 request, timeout=self._settings.facts_push_timeout
             )
-        except grpc.RpcError:
+        except grpc.RpcError as error:
+            # The last known tallies count until the host answers again.
+            self._host.logger.bind(
+                step="collect tallies", peer=link.address
+            ).debug(f"no tallies received: {error!r}"[:200])
             return None
--- a/buckthornhold/values.py
+++ b/buckthornhold/values.py
@@ -76,6 +76,7 @@
         try:
             moment = datetime.datetime.fromisoformat(text)
         except ValueError:
+            # The caller reports what was expected, with the line.
             return None
         return moment if moment.tzinfo else None
 
--- a/measurements/shared_limits.py
+++ b/measurements/shared_limits.py
@@ -19,40 +19,22 @@
 from buckthornhold import quotas
 from buckthornhold import routes
 from measurements import limit_cases
+from measurements import limit_reports
 from measurements import limit_ways
 
 RATE = 508_807.0
-BURST = 508_807.0
-WINDOW_SECONDS = 8.0
 OVERAGE = 0.1
 SLACK = 72_000.0
 CALM_SHARE = 0.55
 INTERVAL_SECONDS = 0.5
 WARM_UP_SECONDS = 8.0
 CALM_SECONDS = 8.0
-#: Sizes in tokens with their weights and urgencies.
-KINDS = ((9250, 122, 0), (2400, 148, 1), (960, 102, 2), (200, 130, 2))
-LARGEST = 30_000
-LARGEST_SHARE = 0.02
-PLAIN_TOKENS = 200
-#: Time that callers have; they return within a third of what is left.
-CALLER_SECONDS = 10.0
 CALM_URGENCIES = (0, 1, 2)
 #: Ways to admit: today's code and the alternatives.
 WAYS = ("today", "shared", "equal", "demand", "lease")
 FAULTS = ("none", "join", "killed", "partition", "early-partition", "mixed")
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Request:
-    """One request; ``tries`` counts its refusals."""
-
-    units: float
-    urgency: int
-    deadline: float
-    tries: int = 0
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Plan:
     """What is played."""
@@ -72,7 +54,7 @@
     @property
     def limit(self) -> float:
         """Units that a window may admit; the burst is a rate-second."""
-        return self.rate * WINDOW_SECONDS + self.rate
+        return self.rate * limit_cases.WINDOW_SECONDS + self.rate
 
     @property
     def bound(self) -> float:
@@ -105,9 +87,11 @@
             rate=plan.rate,
             burst=plan.rate,
             counts_tokens=True,
-            plain_tokens=PLAIN_TOKENS,
+            plain_tokens=limit_cases.PLAIN_TOKENS,
+        )
+        self._pool = limit_ways.LeasePool(
+            rate=plan.limit / limit_cases.WINDOW_SECONDS
         )
-        self._pool = limit_ways.LeasePool(rate=plan.limit / WINDOW_SECONDS)
         self.hosts = []
         self.split = False
         self.split_noticed = False
@@ -129,7 +113,7 @@
         self.asked: list[tuple[float, float]] = []
         self.tally: collections.Counter = collections.Counter()
         self.start = self.now
-        #: Requests and refusals of calm cases, by WINDOW_SECONDS.
+        #: Requests and refusals of calm cases, by limit_cases.WINDOW_SECONDS.
         self.periods: collections.Counter = collections.Counter()
         self.longest_wait = 0.0
         self.calm_refused = 0
@@ -139,8 +123,8 @@
     def make_quotas(self, host: Host):
         """Return the quotas of a host, in the way that is played."""
         common = {
-            "rate": self.plan.limit / WINDOW_SECONDS,
-            "window": WINDOW_SECONDS,
+            "rate": self.plan.limit / limit_cases.WINDOW_SECONDS,
+            "window": limit_cases.WINDOW_SECONDS,
             "count_hosts": lambda: sum(it.alive for it in self.hosts),
             "clock": lambda: self.now,
         }
@@ -161,7 +145,7 @@
                 "draw": random.Random(self._draw.random()),
             }
         return quotas.Quotas(
-            window_seconds=WINDOW_SECONDS,
+            window_seconds=limit_cases.WINDOW_SECONDS,
             count_hosts=lambda: sum(it.alive for it in self.hosts),
             read_limit_share=lambda: self._read_share(host),
             clock=lambda: self.now,
@@ -181,10 +165,15 @@
         hot = start + WARM_UP_SECONDS + CALM_SECONDS
         cool = hot + plan.hot_seconds
         end = cool + CALM_SECONDS
-        mean = sum(size * weight for size, weight, _ in KINDS) / sum(
-            weight for _, weight, _ in KINDS
+        mean = sum(
+            size * weight for size, weight, _ in limit_cases.KINDS
+        ) / sum(weight for _, weight, _ in limit_cases.KINDS)
+        mean += (
+            limit_cases.LARGEST_SHARE
+            * limit_cases.KINDS[0][1]
+            / 502
+            * (limit_cases.LARGEST - limit_cases.KINDS[0][0])
         )
-        mean += LARGEST_SHARE * KINDS[0][1] / 502 * (LARGEST - KINDS[0][0])
         if plan.calm:
             mean = limit_cases.compute_calm_mean()
         ticks = []
@@ -232,7 +221,9 @@
                     factor = plan.factor
                 self._send(self._make_request(), hot, cool)
                 arrival += self._draw.expovariate(factor * plan.rate / mean)
-        return self._report(start + WARM_UP_SECONDS, hot, cool, end)
+        return limit_reports.make_report(
+            self, start + WARM_UP_SECONDS, hot, cool, end
+        )
 
     def _list_faults(self, hot: float) -> list:
         def join(ticks):
@@ -268,23 +259,30 @@
             return [(hot + 1.0, cut), (hot + 2.5, notice)]
         return []
 
-    def _make_request(self) -> Request:
+    def _make_request(self) -> limit_cases.Request:
         if self.plan.calm:
-            return Request(
+            return limit_cases.Request(
                 units=limit_cases.draw_calm_size(self._draw),
                 urgency=self._draw.choice(CALM_URGENCIES),
-                deadline=self.now + CALLER_SECONDS,
+                deadline=self.now + limit_cases.CALLER_SECONDS,
             )
         units, _, urgency = self._draw.choices(
-            KINDS, [weight for _, weight, _ in KINDS]
+            limit_cases.KINDS, [weight for _, weight, _ in limit_cases.KINDS]
         )[0]
-        if units == KINDS[0][0] and self._draw.random() < LARGEST_SHARE:
-            units = LARGEST
-        return Request(
-            units=units, urgency=urgency, deadline=self.now + CALLER_SECONDS
+        if (
+            units == limit_cases.KINDS[0][0]
+            and self._draw.random() < limit_cases.LARGEST_SHARE
+        ):
+            units = limit_cases.LARGEST
+        return limit_cases.Request(
+            units=units,
+            urgency=urgency,
+            deadline=self.now + limit_cases.CALLER_SECONDS,
         )
 
-    def _send(self, request: Request, hot: float, cool: float) -> None:
+    def _send(
+        self, request: limit_cases.Request, hot: float, cool: float
+    ) -> None:
         alive = [it for it in self.hosts if it.alive]
         host = self._draw.choices(alive, [it.weight for it in alive])[0]
         wait = host.quotas.admit(
@@ -298,7 +296,7 @@
             if hot <= self.now < cool:
                 self.tally["asked", request.units, request.urgency] += 1
         if self.plan.calm:
-            period = int((self.now - self.start) / WINDOW_SECONDS)
+            period = int((self.now - self.start) / limit_cases.WINDOW_SECONDS)
             self.periods["asked", period] += 1
             self.periods["refused", period] += wait > 0
             self.longest_wait = max(self.longest_wait, wait)
@@ -361,86 +359,6 @@
             aggregated=True,
         )
 
-    def _report_calm(self) -> dict:
-        plan = self.plan
-        periods = range(int((self.now - self.start) / WINDOW_SECONDS))
-        return {
-            "way": plan.way,
-            "hosts": plan.hosts,
-            "rate": plan.rate,
-            "seed": plan.seed,
-            "asked": self.calm_asked,
-            "calm_refused": round(
-                self.calm_refused / max(1, self.calm_asked), 5
-            ),
-            "by_period": [
-                round(
-                    self.periods["refused", it]
-                    / max(1, self.periods["asked", it]),
-                    4,
-                )
-                for it in periods
-            ],
-            "longest_wait": round(self.longest_wait, 2),
-        }
-
-    def _report(
-        self, start: float, hot: float, cool: float, end: float
-    ) -> dict:
-        def sum_windows(events, first, last):
-            times = [at for at, _ in events]
-            sums = [0.0]
-            for _, units in events:
-                sums.append(sums[-1] + units)
-            found = []
-            at = first
-            while at + WINDOW_SECONDS <= last + 1e-9:
-                low = bisect.bisect_left(times, at)
-                high = bisect.bisect_left(times, at + WINDOW_SECONDS)
-                found.append(sums[high] - sums[low])
-                at += 0.05
-            return found
-
-        if self.plan.calm:
-            return self._report_calm()
-        every = sum_windows(self.admitted, start, end)
-        inside = sum_windows(self.admitted, hot, cool)
-        asked = sum_windows(self.asked, hot, cool)
-        shares = [
-            got / min(self.plan.limit, want)
-            for got, want in zip(inside, asked, strict=True)
-        ]
-        sizes, urgencies = {}, collections.Counter()
-        for size, _, urgency in (*KINDS, (LARGEST, 0, 0)):
-            want = self.tally["asked", size, urgency]
-            got = self.tally["in", size, urgency]
-            sizes[size] = round(got / max(1, want), 2)
-            urgencies["asked", urgency] += want * size
-            urgencies["in", urgency] += got * size
-        plan = self.plan
-        return {
-            "way": plan.way,
-            "hosts": plan.hosts,
-            "factor": plan.factor,
-            "fault": plan.fault,
-            "seed": plan.seed,
-            "most": round(max(every) / plan.limit, 3),
-            "over_bound": max(every) > plan.bound,
-            "least": round(min(shares), 3),
-            "mean": round(sum(shares) / len(shares), 3),
-            "by_size": sizes,
-            "by_urgency": {
-                it: round(
-                    urgencies["in", it] / max(1, urgencies["asked", it]), 2
-                )
-                for it in (0, 1, 2)
-            },
-            "calm_refused": round(
-                self.calm_refused / max(1, self.calm_asked), 4
-            ),
-            "calm_lost": round(self.calm_lost / max(1, self.calm_asked), 4),
-        }
-
 
 def main() -> None:
     """Play all that the command line asks for."""
