--- a/review/fleet_2.py
+++ b/review/fleet_2.py
@@ -16,6 +16,7 @@
 import shutil
 import signal
 import socket
+import struct
 import sys
 import tempfile
 import time
@@ -93,6 +94,7 @@
         #: A worker that is cut off from the store writes nothing there.
         self.reaches_store = True
         self.server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
         self.born = int(time.time() * 1000)
         self.sequence = 0
 
@@ -117,12 +119,19 @@
         port = self.server.sockets[0].getsockname()[1]
         self.address = f"{LOOPBACK}:{port}"
 
+    def crash(self) -> None:
+        """Listen no more, and reset all connections."""
+        self.server.close()
+        for writer in list(self._writers):
+            reset(writer)
+
     async def stop(self) -> None:
         """Listen no more."""
         if self.server is not None:
             self.server.close()
 
     async def _handle(self, reader, writer) -> None:
+        self._writers.add(writer)
         try:
             while True:
                 request = await read_request(reader)
@@ -138,9 +147,18 @@
         except (ConnectionError, asyncio.IncompleteReadError):
             return
         finally:
+            self._writers.discard(writer)
             writer.close()
 
 
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection."""
+    writer.get_extra_info("socket").setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+    )
+    writer.transport.abort()
+
+
 async def read_request(reader) -> Request | None:
     """Read one request; None at the end of the connection."""
     try:
@@ -287,6 +305,7 @@
         self.workers: list[Worker] = []
         self.hosts: list[EntryHost] = []
         self.routes: list[dict] = []
+        self.tenants = [{"name": TENANT, "apiKeys": [KEY]}]
         self.version = 0
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self._runners: list[web.ServerRunner] = []
@@ -336,7 +355,7 @@
                     "headerTimeoutMs": 3000,
                     "idleTimeoutMs": 15000,
                 },
-                "tenants": [{"name": TENANT, "apiKeys": [KEY]}],
+                "tenants": self.tenants,
             },
         )
 
@@ -522,6 +541,10 @@
     folder = pathlib.Path(sys.argv[0]).resolve().parent
 
     async def run() -> int:
+        # Whoever stops the script early ends its processes as well.
+        task = asyncio.current_task()
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
         fleet = Fleet(folder=folder)
         try:
             async with asyncio.timeout(110):
