Bound the time in which one stream's bytes are served

Cause: each pair of line feeds was taken for an event, found by a search and a copy of all remaining bytes, and events that have arrived were read and written without a suspension, so that the event loop ran nothing else. The same holds for comments and small events; on the own interface, for tokens of an engine that have arrived.

Engines' streams are read in turns of 64 KB.

--- a/buckthornhold/counters.py
+++ b/buckthornhold/counters.py
@@ -44,6 +44,7 @@
     "orders.fenced",
     "orders.overridden",
     "relays.repeated",
+    "relays.throttled",
     "summaries.malformed",
     "summaries.unsent",
     "reads.joined",
--- a/buckthornhold/http_engines.py
+++ b/buckthornhold/http_engines.py
@@ -19,6 +19,8 @@
 
 END_TIMEOUT_SECONDS = 0.05
 LEAVING = "leaving"
+#: Bytes of a stream that are read before other tasks run.
+READ_BYTES = 1 << 16
 REFUSAL_LIMIT_CHARS = 200
 
 
@@ -213,11 +215,14 @@
         """
         content = response.content
         while reader.last is None:
-            data = await content.readany()
+            data = await content.read(READ_BYTES)
             if not data:
                 break
             if not reader.take(data) and reader.last is None:
                 await sink.make_room()
+            if len(data) == READ_BYTES:
+                # Reading what has arrived doesn't wait, so others run first.
+                await asyncio.sleep(0)
         last = reader.last
         if isinstance(last, engines.EndOfStream) and not last.trailing:
             trailing = await self._has_more(content)
--- a/buckthornhold/platform/upstream_clients.py
+++ b/buckthornhold/platform/upstream_clients.py
@@ -1,6 +1,7 @@
 """Upstream clients: requests to upstreams on the platform's wire."""
 
 import asyncio
+import collections
 import dataclasses
 import http
 
@@ -12,6 +13,7 @@
 from buckthornhold import backoffs
 from buckthornhold import bodies
 from buckthornhold import clients
+from buckthornhold import event_splitters
 from buckthornhold import memory_budgets
 from buckthornhold import reasons
 from buckthornhold import relay_messages
@@ -72,7 +74,8 @@
         self._hold = hold
         self._event_body = bodies.Body(hold=hold, limit=MAX_EVENT_BYTES)
         self._end = response_checks.ResponseEnd(response, upload=upload)
-        self._buffer = b""
+        self._splitter = event_splitters.EventSplitter()
+        self._events: collections.deque[bytes] = collections.deque()
         self._complete = False
         self.headers = http_headers.filter_response_headers(response.headers)
 
@@ -105,18 +108,12 @@
         self,
     ) -> relay_messages.Event | None | reasons.Failure:
         """Return the next event, or None at the proper end of the stream."""
-        while True:
-            end = self._buffer.find(b"\n\n")
-            if end >= 0:
-                data = self._buffer[: end + 2]
-                self._buffer = self._buffer[end + 2 :]
-                return relay_messages.Event(
-                    event_id=_parse_event_id(data), data=data
-                )
+        while not self._events:
             try:
                 chunk = await self._response.content.readany()
-                self._buffer += chunk
-                self._event_body.resize(len(self._buffer))
+                held_bytes = self._splitter.held_bytes + len(chunk)
+                self._event_body.resize(held_bytes)
+                self._events.extend(self._splitter.take(chunk))
                 if not chunk:
                     self._end.check()
             except (aiohttp.ClientError, OSError) as error:
@@ -124,9 +121,11 @@
             if chunk:
                 continue
             self._complete = True
-            if self._buffer:
+            if self._splitter.held_bytes:
                 return self._fail("the stream ended within an event")
             return None
+        data = self._events.popleft()
+        return relay_messages.Event(event_id=_parse_event_id(data), data=data)
 
     def close(self) -> None:
         """Release the connection, or close it if the body isn't read."""
--- a/buckthornhold/relays.py
+++ b/buckthornhold/relays.py
@@ -11,6 +11,7 @@
 import time
 
 from buckthornhold import event_intervals
+from buckthornhold import event_throttles
 from buckthornhold import reasons
 from buckthornhold import relay_messages
 from buckthornhold import relay_poison_guards
@@ -281,6 +282,7 @@
         pace = event_intervals.EventIntervalMeter(
             notify=functools.partial(self._record_interval, upstream)
         )
+        throttle = event_throttles.EventThrottle()
         is_new = not self._forwarded_events
         try:
             while event is not None:
@@ -293,12 +295,14 @@
                 pace.count_event()
                 self._forwarded_events += 1
                 self._host.poison_guard.record_event(self._current_attempt)
+                await throttle.count_event()
                 event = await self._read_next_event(upstream, response)
                 if isinstance(event, reasons.Failure):
                     return event
                 upstream.record_activity()
         finally:
             pace.finish()
+            self._report_delay(upstream, throttle)
         upstream.record_outcome(failed=False)
         self._host.retry_budgets.record_success(self._request.service)
         self._ran = reasons.Ran.YES
@@ -307,6 +311,22 @@
         await self._responder.finish()
         return None
 
+    def _report_delay(
+        self, upstream, throttle: event_throttles.EventThrottle
+    ) -> None:
+        """Report a stream whose upstream sent events too fast."""
+        if not throttle.delay_seconds:
+            return
+        self._host.counters.count_event("relays.throttled")
+        self._host.logger.bind(
+            step="relay",
+            peer=upstream.name,
+            request_id=self._request.contract.request_id,
+        ).info(
+            f"{self._forwarded_events} events came faster than an engine "
+            f"makes them, delayed by {throttle.delay_seconds:.2f} s in all"
+        )
+
     def _record_interval(self, upstream, seconds: float) -> None:
         """Record the mean time between a stream's first events."""
         self._host.moves.record_event_interval(
--- a/buckthornhold/tools/meanings.py
+++ b/buckthornhold/tools/meanings.py
@@ -210,6 +210,7 @@
     "members.changed": "Changes of what is known of an entry host.",
     "members.doubted": "Entry hosts that came into doubt.",
     "relays.repeated": "Relayed requests that were sent again.",
+    "relays.throttled": "Streams whose events came too fast and were delayed.",
     "paces.normal": "Engines whose pace was judged normal again.",
     "paces.slow": "Engines whose pace was judged slow.",
     "summaries.malformed": "Summaries that were ignored: a bad figure.",
--- a/features/odd_inputs/endless_answers.feature
+++ b/features/odd_inputs/endless_answers.feature
@@ -37,3 +37,25 @@
       | a plain service | an unframed body |
       | a plain service | interim answers  |
       | an engine       | a chunked body   |
+
+  # Guards against a host that does nothing else while it reads one stream.
+  Scenario Outline: Other requests are served while streams do not end
+    Given wire: a relay host and upstreams with endless responses
+    When wire: models answer 3 streams with <bytes> without end
+    Then wire: 40 lookups meanwhile are each answered within 0.5 s
+    And wire: the readiness check is answered within 0.5 s
+    And wire: each stream is ended by its deadline
+
+    Examples:
+      | bytes                |
+      | line feeds           |
+      | later line feeds     |
+      | comments             |
+      | small events         |
+      | chunks of line feeds |
+
+  # Guards against the same fault of the product's own interface.
+  Scenario: An engine sends more tokens than are read in one turn
+    When own interface: an engine has 6 MB of tokens ready
+    Then own interface: no other task waits longer than 0.1 s
+    And own interface: all tokens are given to the sink
--- a/features/steps/relay_endless_steps.py
+++ b/features/steps/relay_endless_steps.py
@@ -42,9 +42,12 @@
 class EndlessUpstream:
     """An upstream that sends an endless response to each request.
 
-    ``sent`` counts the bytes that its clients have read.
+    ``sent`` counts the bytes that its clients have read. With
+    ``pause_seconds`` it waits after each piece.
     """
 
+    pause_seconds: float | None = None
+
     def __init__(self, what: str) -> None:
         self._what = what
         self.sent = 0
@@ -76,6 +79,8 @@
                 writer.write(repeated)
                 await writer.drain()
                 self.sent += len(repeated)
+                if self.pause_seconds is not None:
+                    await asyncio.sleep(self.pause_seconds)
         except ConnectionError:
             writer.transport.abort()
 
