Skip windows of usage whose totals a restored store may have lost

Cause: a process that starts after a restoration sees no change of the era, and takes a missing total for one that never was. It summed the window up from the restored checkpoint. A live host that had been cut off when the total was told did the same.

Change: the first holder of the duty in each era stores the window that is current then. Earlier windows without a total are reported only by a process that ran when they ended and was in touch with all others; else they are skipped, counted and logged.

--- a/buckthornhold/counters.py
+++ b/buckthornhold/counters.py
@@ -78,6 +78,7 @@
     "upstreams.crashed",
     "upstreams.silent",
     "usage.totals_replaced",
+    "usage.windows_skipped",
     "versions.withdrawn",
 )
 
--- a/buckthornhold/tools/meanings.py
+++ b/buckthornhold/tools/meanings.py
@@ -248,6 +248,7 @@
     "upstreams.crashed": "Upstreams found to have crashed.",
     "upstreams.silent": "Engines that fell silent towards this host.",
     "usage.totals_replaced": "Totals of usage that a restored store had lost.",
+    "usage.windows_skipped": "Windows not reported: their totals may be lost.",
     "versions.withdrawn": "Withdrawals of versions that became known.",
     "tasks.errors": "Unforeseen errors in background tasks.",
 }
--- a/buckthornhold/usages.py
+++ b/buckthornhold/usages.py
@@ -3,7 +3,9 @@
 Every host counts its own requests and sends the counts in its summaries. The
 host that holds the duty (a lease) adds them up, writes the total to the store
 and reports the stored total, so that a later holder reports the same numbers.
-Totals that a restored store has lost are written again (``usage_totals``).
+Totals that a restored store has lost are written again (``usage_totals``). A
+window whose total may be lost and that nobody knows is not reported
+(``usage_floors``): another count than the reported one would be wrong.
 """
 
 import abc
@@ -14,6 +16,7 @@
 from buckthornhold import reasons
 from buckthornhold import stores
 from buckthornhold import tasks
+from buckthornhold import usage_floors
 from buckthornhold import usage_totals
 from buckthornhold.coordination import store_eras
 from buckthornhold.peers import summaries_pb2
@@ -127,6 +130,17 @@
             is_needed=lambda: host.eras.numbered,
         )
         self._totals.register_topic(host.broadcasts)
+        self._floor = usage_floors.UsageFloor(
+            store=host.store,
+            find_current_window=lambda: host.usage.find_current_window(),
+            logger=host.logger,
+        )
+        #: Windows that are not reported, as their totals may be lost.
+        self._skipped: set[int] = set()
+        #: The last time of day at which some host was silent.
+        self._silent_at = -math.inf
+        #: Earlier windows may have been reported without this host knowing.
+        self._untold_before = -math.inf
         host.eras.add_part(store_eras.Order.USAGE, "usage", self._begin_era)
 
     async def run_once(self) -> None:
@@ -134,13 +148,18 @@
         current = self._host.usage.find_current_window()
         if self._start_window is None:
             self._start_window = current
-        if not self._host.duty.held:
+        if self._host.summaries.count_silent_hosts():
+            self._silent_at = self._host.summaries.read_time_of_day()
+        if not self._host.duty.held or not await self._floor.update():
             return
         oldest = current - RETAINED_WINDOWS
         self._reported = {known for known in self._reported if known >= oldest}
+        self._skipped = {known for known in self._skipped if known >= oldest}
         for window in range(oldest + 1, current):
             if window in self._reported or not self._is_settled(window):
                 continue
+            if window in self._skipped and self._totals.find(window) is None:
+                continue
             # Windows from before this host started, if it has counts of them.
             if window < self._start_window and not self._aggregate_window(
                 window
@@ -166,8 +185,11 @@
         """Report a window's stored total; store it first if there is none.
 
         A total that other hosts must know is reported in a later step.
+        Returns whether the next window may be reported.
         """
         counts = await self._find_total(window)
+        if counts is None and window in self._skipped:
+            return True
         if counts is not None and self._totals.add(window, counts):
             self._host.broadcasts.publish(usage_totals.TOPIC)
             return True
@@ -198,6 +220,10 @@
         if known is None:
             if stored is not None:
                 return stored
+            if isinstance(entry, reasons.Failure):
+                return None
+            if not self._may_aggregate(window):
+                return None
             return await self._write_total(key, self._aggregate_window(window))
         if stored is None:
             stored = await self._write_total(key, known)
@@ -205,6 +231,28 @@
             stored = await self._replace_total(entry, known)
         return known if stored == known else None
 
+    def _may_aggregate(self, window: int) -> bool:
+        """Return whether a window that has no total can't have been reported.
+
+        It may have been if the store was restored since the window ended and
+        this host could not be told of the total.
+        """
+        floor = self._floor.window
+        if floor is None:
+            # The store was restored in this very step.
+            return False
+        if window >= floor:
+            return True
+        if window >= max(self._start_window, self._untold_before):
+            return True
+        self._skipped.add(window)
+        self._host.counters.count_event("usage.windows_skipped")
+        self._logger.bind(step="report usage", peer=str(window)).warning(
+            f"not reported: the store was restored to era "
+            f"{self._host.eras.current} and may have lost its total"
+        )
+        return False
+
     async def _replace_total(
         self, entry: stores.Entry, counts: dict[str, int]
     ) -> dict[str, int] | None:
@@ -232,8 +280,31 @@
         return json.loads(entry.value)
 
     def _begin_era(self, change: store_eras.EraChange) -> None:
-        """Take another lease: lost ids are issued again to others."""
+        """Take another lease: lost ids are issued again to others.
+
+        A host that was cut off from others before may not know a total that
+        was reported and is lost.
+        """
         self._lease_id = None
+        if self._start_window is not None and not self._was_in_touch():
+            self._untold_before = self._host.usage.find_current_window()
+
+    def _was_in_touch(self) -> bool:
+        """Return whether this host was told all totals that were reported.
+
+        It knows those of all windows that are due, and since then no host
+        was silent.
+        """
+        now = self._host.summaries.read_time_of_day()
+        due_at = now - self._bounds.usage_late
+        if self._silent_at >= due_at:
+            return False
+        last_due = math.floor(due_at / self._bounds.usage_window) - 1
+        first = max(self._start_window, last_due - OPEN_WINDOWS)
+        return all(
+            self._totals.find(window) is not None
+            for window in range(first, last_due + 1)
+        )
 
     async def _write_total(
         self, key: str, counts: dict[str, int]
--- a/features/steps/store_era_usage_steps.py
+++ b/features/steps/store_era_usage_steps.py
@@ -196,3 +196,70 @@
     for host in (context.holder, context.other):
         totals = host.reporter._totals
         assert totals.find(WINDOW) and totals.find(WINDOW + 1), totals._totals
+
+
+@behave.when(
+    "eras: a window is reported, then the store goes back {copy} its total"
+)
+def report_and_lose(context, copy):
+    backend = context.backend
+    if "floor" not in copy:
+        # The copy has the floor of the era before.
+        context.holder.usage.find_current_window = lambda: WINDOW
+        run(context.holder, 1)
+        backend.take_copy()
+        context.holder.usage.find_current_window = lambda: WINDOW + 1
+    run(context.holder, 2)
+    assert context.cloud.reports
+    if copy == "with":
+        backend.take_copy()
+    backend.restore()
+
+
+@behave.when(
+    "eras: another process starts with {count:d} counts of that window"
+)
+def start_other_process(context, count):
+    host = Host(backend=context.backend, cloud=context.cloud, count=count)
+    if not count:
+        del host.usage.counts[WINDOW]
+    run(host, 4)
+    context.process = host
+
+
+@behave.then("eras: the process reports the next window")
+def check_next(context):
+    host = context.process
+    host.usage.counts[WINDOW + 1] = {"shop": 3}
+    host.usage.find_current_window = lambda: WINDOW + 2
+    host.summaries.read_time_of_day = lambda: (WINDOW + 3) * WINDOW_SECONDS
+    run(host, 4)
+    assert (WINDOW + 1, {"shop": 3}) in context.cloud.reports
+
+
+@behave.when("eras: a window ends, and all processes do before they report it")
+def end_before_report(context):
+    context.holder.usage.find_current_window = lambda: WINDOW
+    run(context.holder, 1)
+    assert not context.cloud.reports
+
+
+@behave.when("eras: a window is reported while the other host {cut}")
+def report_untold(context, cut):
+    context.holder.followers.clear()
+    run(context.holder, 2)
+    assert context.cloud.reports
+    other = context.other
+    if cut == "misses a host for a moment":
+        other.summaries.count_silent_hosts = lambda: 1
+        asyncio.run(other.reporter.run_once())
+        other.summaries.count_silent_hosts = lambda: 0
+        return
+    other.reporter._start_window = WINDOW - 4
+    asyncio.run(other.reporter.run_once())
+
+
+@behave.when("eras: the store goes back and the other host takes over")
+def restore_and_take_over(context):
+    context.backend.restore()
+    run(context.other, 4)
--- a/features/store_eras/usage.feature
+++ b/features/store_eras/usage.feature
@@ -36,3 +36,38 @@
     Given eras: a holder of the duties and a host that follows it
     When eras: two hosts know one total each and exchange them
     Then eras: each of them knows both totals
+
+  # Guards against a window that is reported twice after a restart of all
+  # hosts: nobody knows its total, and the copy has earlier counts of it.
+  Scenario Outline: All hosts end while the store goes back
+    Given eras: a holder of the duties and a host that follows it
+    When eras: a window is reported, then the store goes back <copy> its total
+    And eras: another process starts with <count> counts of that window
+    Then eras: the window was reported with one count
+    And eras: the process reports the next window
+
+    Examples:
+      | copy                   | count |
+      | without                | 5     |
+      | without                | 0     |
+      | without floor or       | 5     |
+      | with                   | 5     |
+
+  # Guards against duties that are missed after each restart.
+  Scenario: All hosts end while the store stays
+    Given eras: a holder of the duties and a host that follows it
+    When eras: a window ends, and all processes do before they report it
+    And eras: another process starts with 5 counts of that window
+    Then eras: the window was reported with one count
+
+  # Guards against a second report by a host that was cut off at the first.
+  Scenario Outline: The next holder could not be told the total
+    Given eras: a holder of the duties and a host that follows it
+    When eras: a window is reported while the other host <cut>
+    And eras: the store goes back and the other host takes over
+    Then eras: the window was reported with one count
+
+    Examples:
+      | cut                          |
+      | misses a host for a moment   |
+      | has missed windows before it |
