Keep the start of the store's era for all that it may have lost

The window that is current when an era is first seen served usage alone. The time of it (coordination/era_starts, key era-start) tells the same of windows and of anything else that carries a time. Era 0 has lost nothing, so that nothing is read or written there.

"All hosts end while the store stays" has a row for a later era.

--- a/buckthornhold/coordination/store_eras.py
+++ b/buckthornhold/coordination/store_eras.py
@@ -93,6 +93,7 @@
         self._logger = logger or loguru.logger
         self._counters = counters
         self._current = 0
+        self._first = 0
         self._known = False
         self._numbered = False
         self._parts: list[_Part] = []
@@ -104,6 +105,11 @@
         """The highest era seen, 0 before the first response."""
         return self._current
 
+    @property
+    def first(self) -> int:
+        """The first era that this process saw, 0 if nothing was restored."""
+        return self._first
+
     @property
     def numbered(self) -> bool:
         """Whether the store or a peer has named an era."""
@@ -143,6 +149,8 @@
         if was_known:
             self._pending.append(change)
             self._notify()
+        else:
+            self._first = era
         return True
 
     def learn(self, era: int) -> None:
--- a/buckthornhold/usages.py
+++ b/buckthornhold/usages.py
@@ -5,7 +5,7 @@
 and reports the stored total, so that a later holder reports the same numbers.
 Totals that a restored store has lost are written again (``usage_totals``). A
 window whose total may be lost and that nobody knows is not reported
-(``usage_floors``): another count than the reported one would be wrong.
+(``era_starts``): another count than the reported one would be wrong.
 """
 
 import abc
@@ -16,8 +16,8 @@
 from buckthornhold import reasons
 from buckthornhold import stores
 from buckthornhold import tasks
-from buckthornhold import usage_floors
 from buckthornhold import usage_totals
+from buckthornhold.coordination import era_starts
 from buckthornhold.coordination import store_eras
 from buckthornhold.peers import summaries_pb2
 
@@ -130,9 +130,9 @@
             is_needed=lambda: host.eras.numbered,
         )
         self._totals.register_topic(host.broadcasts)
-        self._floor = usage_floors.UsageFloor(
+        self._era_start = era_starts.EraStart(
             store=host.store,
-            find_current_window=lambda: host.usage.find_current_window(),
+            read_time=host.summaries.read_time_of_day,
             logger=host.logger,
         )
         #: Windows that are not reported, as their totals may be lost.
@@ -150,7 +150,7 @@
             self._start_window = current
         if self._host.summaries.count_silent_hosts():
             self._silent_at = self._host.summaries.read_time_of_day()
-        if not self._host.duty.held or not await self._floor.update():
+        if not self._host.duty.held or not await self._era_start.update():
             return
         oldest = current - RETAINED_WINDOWS
         self._reported = {known for known in self._reported if known >= oldest}
@@ -237,11 +237,11 @@
         It may have been if the store was restored since the window ended and
         this host could not be told of the total.
         """
-        floor = self._floor.window
-        if floor is None:
+        era_start = self._era_start.time
+        if era_start is None:
             # The store was restored in this very step.
             return False
-        if window >= floor:
+        if (window + 1) * self._bounds.usage_window > era_start:
             return True
         if window >= max(self._start_window, self._untold_before):
             return True
--- a/features/steps/store_era_usage_steps.py
+++ b/features/steps/store_era_usage_steps.py
@@ -43,13 +43,14 @@
             )
         )
         self.duty = types.SimpleNamespace(held=False, fence=1)
+        self.time_of_day = (WINDOW + 2) * WINDOW_SECONDS
         self.usage = types.SimpleNamespace(
             find_current_window=lambda: WINDOW + 1,
             counts={WINDOW: {"shop": count}},
         )
         self.summaries = types.SimpleNamespace(
             aggregation_delay_seconds=0.0,
-            read_time_of_day=lambda: (WINDOW + 2) * WINDOW_SECONDS,
+            read_time_of_day=lambda: self.time_of_day,
             count_silent_hosts=lambda: 0,
             list_all=list,
         )
@@ -154,7 +155,7 @@
     for window in range(WINDOW, last + 1):
         host.usage.counts[window] = {"shop": 1}
     host.usage.find_current_window = lambda: last + 1
-    host.summaries.read_time_of_day = lambda: (last + 2) * WINDOW_SECONDS
+    host.time_of_day = (last + 2) * WINDOW_SECONDS
     host.followers.append(context.holder)
     host.reporter._totals.add(last, {"shop": 1})
     host.publish("usage-totals")
@@ -198,22 +199,31 @@
         assert totals.find(WINDOW) and totals.find(WINDOW + 1), totals._totals
 
 
+def use_era(context, era):
+    """Have the store be in an era that hosts have known since its start."""
+    context.backend.era = era
+    context.holder = Host(
+        backend=context.backend, cloud=context.cloud, count=7
+    )
+    host = context.holder
+    host.usage.find_current_window = lambda: WINDOW
+    host.time_of_day = WINDOW * WINDOW_SECONDS
+    run(host, 1)
+    assert not context.cloud.reports
+    context.backend.take_copy()
+
+
 @behave.when(
-    "eras: a window is reported, then the store goes back {copy} its total"
+    "eras: a window is reported and its total is lost with era {era:d}"
 )
-def report_and_lose(context, copy):
-    backend = context.backend
-    if "floor" not in copy:
-        # The copy has the floor of the era before.
-        context.holder.usage.find_current_window = lambda: WINDOW
-        run(context.holder, 1)
-        backend.take_copy()
-        context.holder.usage.find_current_window = lambda: WINDOW + 1
-    run(context.holder, 2)
+def report_and_lose(context, era):
+    use_era(context, era)
+    host = context.holder
+    host.usage.find_current_window = lambda: WINDOW + 1
+    host.time_of_day = (WINDOW + 2) * WINDOW_SECONDS
+    run(host, 2)
     assert context.cloud.reports
-    if copy == "with":
-        backend.take_copy()
-    backend.restore()
+    context.backend.restore()
 
 
 @behave.when(
@@ -232,16 +242,16 @@
     host = context.process
     host.usage.counts[WINDOW + 1] = {"shop": 3}
     host.usage.find_current_window = lambda: WINDOW + 2
-    host.summaries.read_time_of_day = lambda: (WINDOW + 3) * WINDOW_SECONDS
+    host.time_of_day = (WINDOW + 3) * WINDOW_SECONDS
     run(host, 4)
     assert (WINDOW + 1, {"shop": 3}) in context.cloud.reports
 
 
-@behave.when("eras: a window ends, and all processes do before they report it")
-def end_before_report(context):
-    context.holder.usage.find_current_window = lambda: WINDOW
-    run(context.holder, 1)
-    assert not context.cloud.reports
+@behave.when(
+    "eras: all processes end in era {era:d} before a window is reported"
+)
+def end_before_report(context, era):
+    use_era(context, era)
 
 
 @behave.when("eras: a window is reported while the other host {cut}")
--- a/features/store_eras/usage.feature
+++ b/features/store_eras/usage.feature
@@ -41,25 +41,29 @@
   # hosts: nobody knows its total, and the copy has earlier counts of it.
   Scenario Outline: All hosts end while the store goes back
     Given eras: a holder of the duties and a host that follows it
-    When eras: a window is reported, then the store goes back <copy> its total
+    When eras: a window is reported and its total is lost with era <era>
     And eras: another process starts with <count> counts of that window
     Then eras: the window was reported with one count
     And eras: the process reports the next window
 
     Examples:
-      | copy                   | count |
-      | without                | 5     |
-      | without                | 0     |
-      | without floor or       | 5     |
-      | with                   | 5     |
+      | era | count |
+      | 0   | 5     |
+      | 0   | 0     |
+      | 1   | 5     |
 
   # Guards against duties that are missed after each restart.
-  Scenario: All hosts end while the store stays
+  Scenario Outline: All hosts end while the store stays
     Given eras: a holder of the duties and a host that follows it
-    When eras: a window ends, and all processes do before they report it
+    When eras: all processes end in era <era> before a window is reported
     And eras: another process starts with 5 counts of that window
     Then eras: the window was reported with one count
 
+    Examples:
+      | era |
+      | 0   |
+      | 1   |
+
   # Guards against a second report by a host that was cut off at the first.
   Scenario Outline: The next holder could not be told the total
     Given eras: a holder of the duties and a host that follows it
