Grant no id whose claim a restored store may have lost for good

What callers saw (own interface): with all hosts killed while the store went back to a copy, a call that must not be repeated ran twice if its id was repeated 5 s or more after the start, though the id said that it was made before.

Change: a shard's writer that started after the restoration grants no id that was made before the start of the era (or up to 2 s after it) and has no claim: id_expired, ran unknown. Hosts that saw the era begin store its start once their claims are written again.

--- a/buckthornhold/coordination/claim_writers.py
+++ b/buckthornhold/coordination/claim_writers.py
@@ -9,6 +9,7 @@
 from buckthornhold import reasons
 from buckthornhold.coordination import claim_logs
 from buckthornhold.coordination import claim_records
+from buckthornhold.coordination import era_starts
 
 #: Maximum number of claims and outcomes in one write.
 MAX_GROUP_SIZE = 64
@@ -56,10 +57,12 @@
         self,
         *,
         log: claim_logs.ClaimLog,
+        era_start: era_starts.EraStart,
         write_rate: float,
         report_error: Callable[[Exception], None],
     ) -> None:
         self._log = log
+        self._era_start = era_start
         self._write_rate = write_rate
         self._report_error = report_error
         self._queue: list[_Operation] = []
@@ -193,7 +196,11 @@
     async def _sync_if_needed(self, group) -> None | reasons.Failure:
         """Sync the log if a decision depends on other hosts' writes."""
         if not self._log.synced_at or self._log.is_behind:
-            return await self._log.sync()
+            failure = await self._log.sync()
+            if failure is None and not await self._era_start.update():
+                detail = "the start of the store's era is unknown"
+                return _make_failure(detail, uncertain=False)
+            return failure
         if time.monotonic() - self._log.synced_at < SYNC_FRESH_SECONDS:
             return None
         for operation in group:
@@ -220,7 +227,7 @@
                 # That attempt was refused, as this claim was lost.
                 claims.append(claim_records.make_not_run(held))
                 held = claims[-1]
-            decision = decide(claim, held, floor=self._log.floor)
+            decision = decide(claim, held, floor=self._find_floor(operation))
             decisions.append(decision)
             if decision.claim is claim:
                 added[claim.request_id] = claim
@@ -251,6 +258,17 @@
             claim.time <= restored_at + CLOCK_MARGIN_SECONDS
         )
 
+    def _find_floor(self, operation: _Operation) -> float:
+        """Return the time up to which ids may no longer be claimed.
+
+        A claim of an id that was made before the store was restored may be
+        lost for good, if whoever knew it has ended since.
+        """
+        if operation.is_known:
+            return self._log.floor
+        lost_before = self._era_start.unseen_before + CLOCK_MARGIN_SECONDS
+        return max(self._log.floor, lost_before)
+
     def _is_displaced(self, operation: _Operation, held) -> bool:
         """Tell whether another attempt has a known claim's place."""
         if not operation.is_known or held is None:
--- a/buckthornhold/coordination/claims.py
+++ b/buckthornhold/coordination/claims.py
@@ -8,12 +8,15 @@
 import time
 import uuid
 
+import loguru
+
 from buckthornhold import reasons
 from buckthornhold import stores
 from buckthornhold.coordination import claim_logs
 from buckthornhold.coordination import claim_peers
 from buckthornhold.coordination import claim_records
 from buckthornhold.coordination import claim_writers
+from buckthornhold.coordination import era_starts
 from buckthornhold.coordination import recent_claims
 from buckthornhold.coordination import store_eras
 
@@ -73,6 +76,9 @@
         self._pending: dict[str, claim_records.Claim] = {}
         self._recent = recent_claims.RecentClaims()
         self._rewriting: asyncio.Task | None = None
+        self._era_start = era_starts.EraStart(
+            store=store, read_time=time.time, logger=loguru.logger
+        )
         store.eras.add_part(store_eras.Order.CLAIMS, "claims", self._begin_era)
 
     @property
@@ -228,6 +234,8 @@
                 )
                 claims = await self._submit_known(claims)
                 if not claims and not writers:
+                    # For processes that start later in this era.
+                    await self._era_start.update()
                     return
                 await asyncio.sleep(spread)
         except Exception as error:
@@ -344,6 +352,7 @@
                     prefix=f"{self._prefix}/{shard:03}",
                     retention=self._retention,
                 ),
+                era_start=self._era_start,
                 write_rate=self._write_rate,
                 report_error=self._report_error,
             )
--- a/features/steps/at_most_once_log_steps.py
+++ b/features/steps/at_most_once_log_steps.py
@@ -58,6 +58,12 @@
     async def _start(self) -> None:
         await self.platform.start()
         self._session = clients.make_session()
+        await self.add_writers()
+
+    async def add_writers(self) -> None:
+        """Start writers that take the place of those before, if any."""
+        self.stores = []
+        self.claims = []
         for number in range(self._count):
             store = DelayedStore(
                 session=self._session,
--- a/features/steps/store_era_claim_steps.py
+++ b/features/steps/store_era_claim_steps.py
@@ -249,3 +249,78 @@
 def check_held_by_first(context):
     assert context.decision.state is ClaimState.HELD, context.decision
     assert context.decision.claim.host == "host-0"
+
+
+@behave.when(
+    "eras: ids that say when they were made are claimed and all writers end"
+)
+def claim_and_end(context):
+    writers = context.writers
+    context.made_at = time.time()
+
+    async def run():
+        for number in (1, 2):
+            decision = await acquire(context, number, f"id-{number}")
+            assert decision.state is ClaimState.ACQUIRED, decision
+        for claimer in writers.claims:
+            await claimer.close()
+
+    writers.run(run())
+
+
+async def acquire(context, number, request_id, *, age=0.0):
+    """Acquire an id that was made some seconds before the writers ended."""
+    return await context.writers.acquire(
+        number, request_id, made_at=context.made_at - age
+    )
+
+
+@behave.when("eras: other writers start {when} the store goes back")
+def start_others(context, when):
+    writers = context.writers
+    if when != "and not":
+        writers.platform.restore_state(context.copy)
+
+    async def start():
+        await writers.add_writers()
+        for store in writers.stores:
+            await store.get("anything")
+        await asyncio.sleep(REWRITE_SECONDS + 0.2)
+
+    writers.run(start())
+    if when.startswith("later"):
+        # The second ones find the time that the first ones have written.
+        writers.run(acquire(context, 1, "other"))
+        writers.run(start())
+
+
+@behave.then("eras: none of these ids is acquired again")
+def check_not_again(context):
+    async def run():
+        return [
+            await acquire(context, by, f"id-{number}")
+            for number in (1, 2)
+            for by in (1, 2)
+        ]
+
+    for decision in context.writers.run(run()):
+        assert decision.state in (ClaimState.EXPIRED, ClaimState.HELD), (
+            decision
+        )
+
+
+@behave.then("eras: an id that was not claimed is {state:w}")
+def check_unclaimed(context, state):
+    expected = {
+        "expired": ClaimState.EXPIRED,
+        "acquired": ClaimState.ACQUIRED,
+    }[state]
+    decision = context.writers.run(acquire(context, 1, "unclaimed", age=1.0))
+    assert decision.state is expected, decision
+
+
+@behave.then("eras: an id that is made later is acquired")
+def check_later(context):
+    later = -claim_writers.CLOCK_MARGIN_SECONDS - 2 * REWRITE_SECONDS - 2
+    decision = context.writers.run(acquire(context, 2, "later", age=later))
+    assert decision.state is ClaimState.ACQUIRED, decision
--- a/features/store_eras/claims.feature
+++ b/features/store_eras/claims.feature
@@ -43,3 +43,18 @@
       | fails   |
       | fails   |
       | raises  |
+
+  # Guards against a call that runs twice: nobody knows its lost claim.
+  Scenario Outline: All writers end while the store goes back
+    Given eras: 2 claim writers of a store, and a copy of it
+    When eras: ids that say when they were made are claimed and all writers end
+    And eras: other writers start <when> the store goes back
+    Then eras: none of these ids is acquired again
+    And eras: an id that was not claimed is <state>
+    And eras: an id that is made later is acquired
+
+    Examples:
+      | when            | state    |
+      | after           | expired  |
+      | later, and once | expired  |
+      | and not         | acquired |
