Cut a stream's events out one at a time

A read of very small events was split at once into objects that take about eight times their bytes, which the memory budget doesn't count. They are now cut out when they are forwarded, from one buffer, and blank lines at its start are counted without a search.

--- a/buckthornhold/event_splitters.py
+++ b/buckthornhold/event_splitters.py
@@ -19,11 +19,16 @@
 
     Further blank lines are dropped: they are no events, and a faulty upstream
     may send them without end. Blocks without data, such as comments, are
-    returned like events.
+    returned like events. Each byte is searched and copied a fixed number of
+    times, and blocks are cut out only when they are asked for: objects for
+    very small ones would take many times their bytes.
     """
 
     def __init__(self) -> None:
-        #: The bytes after the last blank line, in the pieces that came.
+        #: Bytes with at least one whole block, read up to ``_position``.
+        self._buffer = b""
+        self._position = 0
+        #: The bytes after the last whole block, in the pieces that came.
         self._pieces: list[bytes] = []
         self._last_byte = b""
         self._held_bytes = 0
@@ -34,37 +39,56 @@
         """Number of bytes of a block that has not ended."""
         return self._held_bytes
 
-    def take(self, data: bytes) -> list[bytes]:
-        """Take in bytes; return the blocks that end in them.
+    def add(self, data: bytes) -> None:
+        """Add bytes; to be called when there is no further block.
 
         Raises ``FillerError`` if too many bytes came without an event.
         """
+        if not self._held_bytes:
+            size = len(data)
+            data = data.lstrip(LINE_FEED)
+            self._count_filler(size - len(data))
         self._pieces.append(data)
-        if SEPARATOR not in self._last_byte + data:
-            # Joined only once the block ends, however small the pieces are.
-            self._held_bytes += len(data)
-            self._last_byte = data[-1:] or self._last_byte
-            return []
-        *found, rest = b"".join(self._pieces).split(SEPARATOR)
-        self._hold(rest.lstrip(LINE_FEED))
-        blocks = []
-        for block in found:
-            self._count_filler(block)
+        if SEPARATOR in self._last_byte + data:
+            self._buffer = b"".join(self._pieces)
+            self._position = 0
+            self._hold(b"")
+            return
+        self._held_bytes += len(data)
+        self._last_byte = data[-1:] or self._last_byte
+
+    def find_next(self) -> bytes | None:
+        """Return the next block, None if more bytes are needed.
+
+        Raises ``FillerError`` if too many bytes came without an event.
+        """
+        while self._buffer:
+            end = self._buffer.find(SEPARATOR, self._position)
+            if end < 0:
+                self._hold(self._buffer[self._position :].lstrip(LINE_FEED))
+                self._buffer = b""
+                return None
+            block = self._buffer[self._position : end]
+            self._position = end + len(SEPARATOR)
+            self._count_block(block)
             block = block.lstrip(LINE_FEED)
             if block:
-                blocks.append(block + SEPARATOR)
-        return blocks
+                return block + SEPARATOR
+        return None
 
     def _hold(self, rest: bytes) -> None:
         self._pieces = [rest] if rest else []
         self._held_bytes = len(rest)
         self._last_byte = rest[-1:]
 
-    def _count_filler(self, block: bytes) -> None:
+    def _count_block(self, block: bytes) -> None:
         if block.startswith(DATA_FIELD) or LINE_FEED + DATA_FIELD in block:
             self._filler_bytes = 0
-            return
-        self._filler_bytes += len(block) + len(SEPARATOR)
+        else:
+            self._count_filler(len(block) + len(SEPARATOR))
+
+    def _count_filler(self, size: int) -> None:
+        self._filler_bytes += size
         if self._filler_bytes > FILLER_LIMIT_BYTES:
             raise FillerError(
                 f"more than {FILLER_LIMIT_BYTES} bytes without an event's data"
--- a/buckthornhold/platform/upstream_clients.py
+++ b/buckthornhold/platform/upstream_clients.py
@@ -1,7 +1,6 @@
 """Upstream clients: requests to upstreams on the platform's wire."""
 
 import asyncio
-import collections
 import dataclasses
 import http
 
@@ -76,7 +75,6 @@
         self._event_body = bodies.Body(hold=hold, limit=MAX_EVENT_BYTES)
         self._end = response_checks.ResponseEnd(response, upload=upload)
         self._splitter = event_splitters.EventSplitter()
-        self._events: collections.deque[bytes] = collections.deque()
         self._complete = False
         self.headers = http_headers.filter_response_headers(response.headers)
 
@@ -109,24 +107,26 @@
         self,
     ) -> relay_messages.Event | None | reasons.Failure:
         """Return the next event, or None at the proper end of the stream."""
-        while not self._events:
+        while True:
             try:
+                data = self._splitter.find_next()
+                if data is not None:
+                    return relay_messages.Event(
+                        event_id=_parse_event_id(data), data=data
+                    )
                 chunk = await self._response.content.readany()
                 held_bytes = self._splitter.held_bytes + len(chunk)
                 self._event_body.resize(held_bytes)
-                self._events.extend(self._splitter.take(chunk))
-                if not chunk:
-                    self._end.check()
+                if chunk:
+                    self._splitter.add(chunk)
+                    continue
+                self._end.check()
             except (aiohttp.ClientError, OSError) as error:
                 return self._fail(repr(error))
-            if chunk:
-                continue
             self._complete = True
             if self._splitter.held_bytes:
                 return self._fail("the stream ended within an event")
             return None
-        data = self._events.popleft()
-        return relay_messages.Event(event_id=_parse_event_id(data), data=data)
 
     def close(self) -> None:
         """Release the connection, or close it if the body isn't read."""
