Write a total though the store's answer to the read was lost

It does again, unless the total may be lost: then the window is skipped only if the store answered that it has none.

--- a/buckthornhold/usages.py
+++ b/buckthornhold/usages.py
@@ -225,11 +225,12 @@
         if known is None:
             if stored is not None:
                 return stored
-            if isinstance(entry, reasons.Failure):
-                return None
-            if not self._may_aggregate(window):
-                return None
-            return await self._write_total(key, self._aggregate_window(window))
+            if self._may_aggregate(window):
+                counts = self._aggregate_window(window)
+                return await self._write_total(key, counts)
+            if entry is None and self._era_start.time is not None:
+                self._skip(window)
+            return None
         if stored is None:
             stored = await self._write_total(key, known)
         elif stored != known:
@@ -248,15 +249,16 @@
             return False
         if (window + 1) * self._bounds.usage_window > era_start:
             return True
-        if window >= max(self._start_window, self._untold_before):
-            return True
+        return window >= max(self._start_window, self._untold_before)
+
+    def _skip(self, window: int) -> None:
+        """Don't report a window unless its total becomes known."""
         self._skipped.add(window)
         self._host.counters.count_event("usage.windows_skipped")
         self._logger.bind(step="report usage", peer=str(window)).warning(
             f"not reported: the store was restored to era "
             f"{self._host.eras.current} and may have lost its total"
         )
-        return False
 
     async def _replace_total(
         self, entry: stores.Entry, counts: dict[str, int]
